--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# hornbeamtide: build, tests, demo and measurements. Needs Go and make only
+# (regenerating the drpc code with "make generate" also needs protoc).
+
+MODULES := fault event document platform backend peer fleet routing admission claims dispatch rollout weights alarm daemon cmd/hornbeamtide standin
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+PROTOS := $(wildcard */*pb/*.proto)
+
+.PHONY: build test check format vet lint demo bench slopes generate
+
+build:
+	go build -o bin/ ./cmd/hornbeamtide ./standin/cmd/standin
+
+test:
+	./scripts/test.sh $(PACKAGES)
+
+check: format vet lint test
+
+format:
+	@files=$$(find $(MODULES) tools -name '*.go' ! -name '*.pb.go' | xargs go tool gofumpt -l); \
+	if [ -n "$$files" ]; then echo "not formatted (run go tool gofumpt -w):"; echo "$$files"; exit 1; fi
+
+vet:
+	go vet $(PACKAGES)
+
+lint:
+	go tool staticcheck $(PACKAGES)
+
+demo: build
+	./bin/standin demo
+
+bench: build
+	./bin/standin bench
+
+slopes: build
+	./bin/standin slopes
+
+generate:
+	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	for proto in $(PROTOS); do \
+		PATH=$$PWD/bin:$$PATH protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. $$proto || exit 1; \
+	done
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,76 @@
+// Package event defines the numbered log events. docs/EVENTS.md lists them all and
+// a test compares the two.
+package event
+
+import (
+	"sort"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is one kind of log entry. Numbers are never reused.
+type Event struct {
+	Number  int          // unique; the hundred names the package
+	Level   logrus.Level // severity
+	Text    string       // constant message
+	Meaning string       // what an operator should know or do
+}
+
+var catalogue = map[int]Event{}
+
+func define(number int, level logrus.Level, text, meaning string) Event {
+	if _, taken := catalogue[number]; taken {
+		panic("event: number defined twice: " + text)
+	}
+	e := Event{Number: number, Level: level, Text: text, Meaning: meaning}
+	catalogue[number] = e
+	return e
+}
+
+// Catalogue returns all events ordered by number.
+func Catalogue() []Event {
+	events := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		events = append(events, e)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Number < events[j].Number })
+	return events
+}
+
+// Field is one key and value of a log entry.
+type Field struct {
+	Key   string
+	Value any
+}
+
+// F returns a field.
+func F(key string, value any) Field { return Field{Key: key, Value: value} }
+
+// Err returns the field that carries an error.
+func Err(err error) Field { return Field{Key: "error", Value: err.Error()} }
+
+// Logger writes events. A nil Logger discards them.
+type Logger struct {
+	entry *logrus.Entry
+}
+
+// NewLogger returns a Logger that writes to l with the given fields on each entry.
+func NewLogger(l *logrus.Logger, fields ...Field) *Logger {
+	return &Logger{entry: l.WithFields(toFields(fields))}
+}
+
+// Log writes one event.
+func (l *Logger) Log(e Event, fields ...Field) {
+	if l == nil || !l.entry.Logger.IsLevelEnabled(e.Level) {
+		return
+	}
+	l.entry.WithField("event", e.Number).WithFields(toFields(fields)).Log(e.Level, e.Text)
+}
+
+func toFields(fields []Field) logrus.Fields {
+	out := make(logrus.Fields, len(fields))
+	for _, f := range fields {
+		out[f.Key] = f.Value
+	}
+	return out
+}
--- /dev/null
+++ b/fault/fault.go
@@ -0,0 +1,143 @@
+// Package fault defines the error kinds that every hornbeamtide package returns.
+//
+// An error carries a kind, which tells a program what happened, a remedy, which
+// tells a person what to do about it, and the outcome of the request it ended.
+package fault
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Kind classifies an error. Kinds are stable and appear in response bodies.
+type Kind string
+
+// The error kinds.
+const (
+	Invalid      Kind = "invalid"       // the input is malformed or out of range
+	NotFound     Kind = "not_found"     // the named object does not exist
+	Conflict     Kind = "conflict"      // a conditional update lost against another writer
+	Unavailable  Kind = "unavailable"   // the peer, server or platform did not answer
+	Ambiguous    Kind = "ambiguous"     // a write was sent and its answer was lost
+	Overloaded   Kind = "overloaded"    // a limit or a queue is full
+	Deadline     Kind = "deadline"      // the deadline passed
+	Canceled     Kind = "canceled"      // the caller went away
+	Fenced       Kind = "fenced"        // a newer lease holder, session or epoch exists
+	Truncated    Kind = "truncated"     // a stream ended without its end marker
+	Mismatched   Kind = "mismatched"    // an answer belongs to another request
+	Untagged     Kind = "untagged"      // a stream chunk named no weight version
+	Stale        Kind = "stale"         // a sample is over the staleness bound
+	Draining     Kind = "draining"      // this daemon or server takes no new work
+	Isolated     Kind = "isolated"      // neither the platform nor any peer is reachable
+	Claimed      Kind = "claimed"       // the request key was claimed before
+	Unrecognized Kind = "unrecognized"  // an unknown section, key or value
+	Internal     Kind = "internal"      // a defect of this program
+	Unsupported  Kind = "not_supported" // the operation does not fit the service's kind
+)
+
+// Outcome tells a caller whether its request ran on a backend server.
+type Outcome string
+
+// The outcomes of a request that has no answer.
+const (
+	NotRun  Outcome = "not_run" // no backend server started it
+	Unknown Outcome = "unknown" // a backend server may have started it
+	Failed  Outcome = "failed"  // a backend server started it and said that it failed
+)
+
+type valueKey int
+
+const (
+	kindKey valueKey = iota
+	remedyKey
+	outcomeKey
+	retryAfterKey
+)
+
+// Option sets a property of an error made by New or Wrap.
+type Option = merry.Wrapper
+
+// WithOutcome records the outcome of the request that the error ended.
+func WithOutcome(o Outcome) Option { return merry.WithValue(outcomeKey, o) }
+
+// WithRetryAfter records how long a caller should wait before it tries again.
+func WithRetryAfter(d time.Duration) Option { return merry.WithValue(retryAfterKey, d) }
+
+// New returns an error of the given kind. Its message is "message; remedy".
+func New(kind Kind, message, remedy string, options ...Option) error {
+	return build(merry.New(join(message, remedy), merry.NoCaptureStack()), kind, remedy, options)
+}
+
+// Wrap returns an error of the given kind whose message is "message: cause; remedy".
+// errors.Is and errors.As reach the cause.
+func Wrap(cause error, kind Kind, message, remedy string, options ...Option) error {
+	text := join(message+": "+baseMessage(cause), remedy)
+	err := merry.Wrap(cause, merry.NoCaptureStack(), merry.WithMessage(text))
+	return build(err, kind, remedy, options)
+}
+
+func build(err error, kind Kind, remedy string, options []Option) error {
+	wrappers := append([]Option{merry.NoCaptureStack(), merry.WithValue(kindKey, kind), merry.WithValue(remedyKey, remedy)}, options...)
+	return merry.Wrap(err, wrappers...)
+}
+
+func join(message, remedy string) string {
+	if remedy == "" {
+		return message
+	}
+	return message + "; " + remedy
+}
+
+func baseMessage(err error) string {
+	message, remedy := err.Error(), RemedyOf(err)
+	suffix := "; " + remedy
+	if remedy != "" && len(message) > len(suffix) && message[len(message)-len(suffix):] == suffix {
+		return message[:len(message)-len(suffix)]
+	}
+	return message
+}
+
+// KindOf returns the kind of err. Errors of the context package map to Deadline
+// and Canceled, other foreign errors to Internal; a nil error has no kind.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	if kind, ok := merry.Value(err, kindKey).(Kind); ok {
+		return kind
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return Deadline
+	case errors.Is(err, context.Canceled):
+		return Canceled
+	}
+	return Internal
+}
+
+// Is reports whether err has the given kind.
+func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
+
+// RemedyOf returns what the error's reader can do about it, or "".
+func RemedyOf(err error) string {
+	remedy, _ := merry.Value(err, remedyKey).(string)
+	return remedy
+}
+
+// OutcomeOf returns the recorded outcome. An error without one is Unknown, since
+// nothing then proves that the request was not run.
+func OutcomeOf(err error) Outcome {
+	if outcome, ok := merry.Value(err, outcomeKey).(Outcome); ok {
+		return outcome
+	}
+	return Unknown
+}
+
+// RetryAfterOf returns the recorded wait, or zero.
+func RetryAfterOf(err error) time.Duration {
+	wait, _ := merry.Value(err, retryAfterKey).(time.Duration)
+	return wait
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Runs the tests of the given packages. Tests named in KNOWN-RED.txt are run and
+# printed, and only they may fail.
+set -u
+cd "$(dirname "$0")/.."
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+go test -count=1 "$@" 2>&1 | tee "$out"
+status=${PIPESTATUS[0]}
+known=$(grep -E '^test: ' KNOWN-RED.txt 2>/dev/null | sed 's/^test: //')
+if [ -n "$known" ]; then
+	echo "Known red tests (KNOWN-RED.txt):"
+	echo "$known"
+fi
+[ "$status" -eq 0 ] && exit 0
+if grep -qE '^(panic:|.*\[build failed\]|.*\[setup failed\])' "$out"; then
+	exit 1
+fi
+unknown=0
+while read -r name; do
+	top=${name%%/*}
+	if ! grep -qxF "$top" <<<"$known"; then
+		echo "failed and not known red: $name"
+		unknown=1
+	fi
+done < <(sed -nE 's/^ *--- FAIL: ([^ ]+).*/\1/p' "$out")
+grep -qE '^ *--- FAIL: ' "$out" || unknown=1
+exit $unknown
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,3 @@
+// Package tools pins the formatter, the linters and the code generators that the
+// Makefile runs with "go tool".
+package tools
