--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,15 +11,16 @@
 
 // SampleRequest asks for one whole completion for a trainer.
 type SampleRequest struct {
-	Service   string
-	RequestID string // unique per attempt
-	Key       string // group key: samples of one group share a prompt
-	Prompt    string
-	MaxTokens int
-	Seed      int64
-	Team      string
-	Exclude   []string                  // replica IDs not to use
-	OnVersion func(version int64) error // called at each new segment; an error cancels the attempt
+	Service    string
+	RequestID  string // unique per attempt
+	Key        string // group key: samples of one group share a prompt
+	Prompt     string
+	MaxTokens  int
+	Seed       int64
+	Team       string
+	Exclude    []string                         // replica IDs not to use
+	OnVersion  func(version int64) error        // called at each new segment; an error cancels the attempt
+	OnProgress func(replica string, tokens int) // called when a replica was chosen (0 tokens), then at each chunk with the tokens so far
 }
 
 // Completion is a whole completion with its true weight versions.
--- /dev/null
+++ b/rollout/definition.go
@@ -0,0 +1,132 @@
+package rollout
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamtide/hornbeamtide/document"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
+)
+
+// stepKey names one step with one layout.
+type stepKey struct {
+	trainer string
+	step    int64
+	layout  uint64
+}
+
+// placement is the rendezvous key of the step's owner.
+func (k stepKey) placement() string { return fmt.Sprintf("%s/%d", k.trainer, k.step) }
+
+// object is the key of the step's definition in the object API.
+func (k stepKey) object() string { return fmt.Sprintf("steps/%s/%d", k.trainer, k.step) }
+
+func keyOf(t Token) stepKey { return stepKey{trainer: t.Trainer, step: t.Step, layout: t.Layout} }
+
+func keyOfDefinition(d *rolloutpb.Definition) stepKey {
+	return stepKey{trainer: d.Trainer, step: d.Step, layout: layoutOf(d)}
+}
+
+// layoutOf hashes all of a definition that decides its samples.
+func layoutOf(d *rolloutpb.Definition) uint64 {
+	b := appendText(nil, d.Trainer)
+	b = appendText(b, d.Service)
+	b = binary.AppendVarint(b, d.Step)
+	b = binary.AppendVarint(b, int64(d.Bound))
+	for _, g := range d.Groups {
+		b = appendText(b, g.Id)
+		b = appendText(b, g.Prompt)
+		b = binary.AppendVarint(b, int64(g.Samples))
+		b = binary.AppendVarint(b, int64(g.MaxTokens))
+	}
+	return xxhash.Sum64(b)
+}
+
+// sampleCount returns the samples of a step.
+func sampleCount(d *rolloutpb.Definition) int {
+	count := 0
+	for _, g := range d.Groups {
+		count += int(g.Samples)
+	}
+	return count
+}
+
+// define checks a trainer's OpenStep and returns the definition. Errors: fault.Invalid.
+func define(trainer string, open OpenStep, doc *document.Document, now time.Time) (*rolloutpb.Definition, error) {
+	d := &rolloutpb.Definition{
+		Trainer:  trainer,
+		Service:  open.Service,
+		Step:     open.Step,
+		Epoch:    open.Epoch,
+		Bound:    int32(doc.Samples.StalenessBound),
+		OpenedMs: now.UnixMilli(),
+	}
+	if open.Bound != nil {
+		if *open.Bound < 0 || *open.Bound > doc.Samples.StalenessBound {
+			return nil, invalidStep(fmt.Sprintf("bound %d is not between 0 and the document's %d", *open.Bound, doc.Samples.StalenessBound))
+		}
+		d.Bound = int32(*open.Bound)
+	}
+	if len(open.Groups) == 0 {
+		return nil, invalidStep("it has no groups")
+	}
+	if err := defineGroups(d, open.Groups, doc); err != nil {
+		return nil, err
+	}
+	if proto.Size(d) > platform.MaxValueBytes {
+		return nil, invalidStep(fmt.Sprintf("its prompts are over %d bytes in all", platform.MaxValueBytes))
+	}
+	return d, nil
+}
+
+func defineGroups(d *rolloutpb.Definition, groups []Group, doc *document.Document) error {
+	seen := make(map[string]bool, len(groups))
+	first := 0
+	for _, g := range groups {
+		if g.ID == "" || seen[g.ID] {
+			return invalidStep(fmt.Sprintf("group id %q is empty or used twice", g.ID))
+		}
+		if g.Samples < 0 || g.MaxTokens < 0 {
+			return invalidStep(fmt.Sprintf("group %q has a negative number", g.ID))
+		}
+		seen[g.ID] = true
+		if g.Samples == 0 {
+			g.Samples = doc.Samples.GroupSize
+		}
+		if g.MaxTokens == 0 {
+			g.MaxTokens = doc.Samples.MaxTokens
+		}
+		if first+g.Samples > maxStepSamples {
+			return invalidStep(fmt.Sprintf("it has more than %d samples", maxStepSamples))
+		}
+		d.Groups = append(d.Groups, &rolloutpb.Group{
+			Id: g.ID, Prompt: g.Prompt, First: int32(first), Samples: int32(g.Samples), MaxTokens: int32(g.MaxTokens),
+		})
+		first += g.Samples
+	}
+	return nil
+}
+
+func invalidStep(why string) error {
+	return fault.New(fault.Invalid, "the step can't be opened: "+why, "correct the step and open it again", fault.WithOutcome(fault.NotRun))
+}
+
+// withGroup returns the definition with one of its groups only.
+func withGroup(d *rolloutpb.Definition, index int) *rolloutpb.Definition {
+	one := withoutGroups(d)
+	one.Groups = []*rolloutpb.Group{d.Groups[index]}
+	return one
+}
+
+// withoutGroups returns the definition without its groups.
+func withoutGroups(d *rolloutpb.Definition) *rolloutpb.Definition {
+	return &rolloutpb.Definition{
+		Trainer: d.Trainer, Service: d.Service, Step: d.Step, Epoch: d.Epoch, Bound: d.Bound, OpenedMs: d.OpenedMs,
+	}
+}
--- /dev/null
+++ b/rollout/fake_test.go
@@ -0,0 +1,580 @@
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+	"github.com/hornbeamtide/hornbeamtide/document"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+const (
+	testService = "drafts"
+	testPool    = "draftpool"
+	testTrainer = "captions"
+	testLimit   = 20 * time.Second // longest wait for a condition
+)
+
+// cluster is several Managers in one process that talk drpc over loopback.
+type cluster struct {
+	t        *testing.T
+	doc      *document.Document
+	gen      *fakeGenerator
+	versions *fakeVersions
+	store    *memoryStore
+	recorder *countingRecorder
+
+	mu      sync.Mutex
+	daemons []*testDaemon
+}
+
+type testDaemon struct {
+	c       *cluster
+	member  fleet.Member
+	manager *Manager
+	router  http.Handler
+	stop    context.CancelFunc
+	gate    *gate
+	gone    bool // not in the members any more
+}
+
+func newCluster(t *testing.T, count int, tune func(*Config)) *cluster {
+	c := &cluster{
+		t:        t,
+		gen:      newFakeGenerator(),
+		versions: &fakeVersions{},
+		store:    newMemoryStore(),
+		recorder: &countingRecorder{},
+		doc: &document.Document{
+			Service: testService, Team: "t", Region: "r", Kind: document.Model, Pool: testPool,
+			Samples: document.Samples{StalenessBound: 1, Preference: document.PreferIdleTime, GroupSize: 4, MaxTokens: 8, Hedges: 1, HedgeBudget: 100, StepTime: time.Minute},
+		},
+	}
+	c.versions.set(1)
+	c.gen.version = func() int64 { return c.versions.Newest(testPool) }
+	for i := range count {
+		c.add(fmt.Sprintf("d%d", i), tune)
+	}
+	return c
+}
+
+func (c *cluster) add(id string, tune func(*Config)) *testDaemon {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	d := &testDaemon{c: c, gate: newGate()}
+	d.member = fleet.Member{ID: id, PeerAddress: listener.Addr().String(), Region: "r", FailureDomain: "f-" + id}
+	config := Config{GroupsInProgress: 64, StepRetention: time.Minute, TokenInterval: time.Hour}
+	if tune != nil {
+		tune(&config)
+	}
+	d.manager = NewManager(config, Parts{
+		View: d, Docs: c, Generator: c.gen, Versions: c.versions, Store: c.store, Conns: testConns{}, Recorder: c.recorder,
+	})
+	mux := drpcmux.New()
+	if err := d.manager.Register(mux); err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = drpcserver.New(mux).Serve(ctx, gatedListener{listener, d.gate})
+	}()
+	go func() { _ = d.manager.Run(ctx) }()
+	d.stop = func() {
+		d.gate.open()
+		cancel()
+		<-served
+	}
+	router := chi.NewRouter()
+	router.Route("/v1/trainers", d.manager.Routes)
+	d.router = router
+	c.mu.Lock()
+	c.daemons = append(c.daemons, d)
+	c.mu.Unlock()
+	c.t.Cleanup(d.stop)
+	return d
+}
+
+// kill ends a daemon at once; the others still list it until remove.
+func (d *testDaemon) kill() { d.stop() }
+
+// remove takes a daemon out of the members.
+func (d *testDaemon) remove() {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	d.gone = true
+}
+
+func (c *cluster) daemon(id string) *testDaemon {
+	for _, d := range c.daemons {
+		if d.member.ID == id {
+			return d
+		}
+	}
+	c.t.Fatalf("no daemon %s", id)
+	return nil
+}
+
+// owner returns the daemon that owns a step of the test trainer.
+func (c *cluster) owner(step int64) *testDaemon {
+	return c.daemon(c.daemons[0].Owners(fmt.Sprintf("%s/%d", testTrainer, step), 1)[0].ID)
+}
+
+// other returns a daemon that is not d.
+func (c *cluster) other(d *testDaemon) *testDaemon {
+	for _, o := range c.daemons {
+		if o != d && !o.gone {
+			return o
+		}
+	}
+	c.t.Fatal("no other daemon")
+	return nil
+}
+
+// The fleet.View of a daemon.
+
+func (d *testDaemon) Self() fleet.Member { return d.member }
+
+func (d *testDaemon) Members() []fleet.Member {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	var members []fleet.Member
+	for _, o := range d.c.daemons {
+		if !o.gone {
+			members = append(members, o.member)
+		}
+	}
+	return members
+}
+
+func (d *testDaemon) Owners(key string, n int) []fleet.Member {
+	members := d.Members()
+	rank := func(m fleet.Member) uint64 { return xxhash.Sum64String(key + "|" + m.ID) }
+	sort.Slice(members, func(i, j int) bool { return rank(members[i]) > rank(members[j]) })
+	return members[:min(n, len(members))]
+}
+
+func (d *testDaemon) Replicas(string) []fleet.Replica { return nil }
+func (d *testDaemon) Subset(string) []fleet.Replica   { return nil }
+func (d *testDaemon) Isolated() (time.Time, bool)     { return time.Time{}, false }
+func (c *cluster) Changed() <-chan struct{}           { return nil }
+func (c *cluster) All() []document.Versioned          { return []document.Versioned{{Document: c.doc}} }
+
+func (c *cluster) Document(s string) (document.Versioned, bool) {
+	return document.Versioned{Document: c.doc}, s == c.doc.Service
+}
+
+// Calls of a trainer.
+
+func (d *testDaemon) call(path string, body, answer any) (fault.Body, bool) {
+	return d.callOn(httptest.NewRecorder(), path, body, answer)
+}
+
+func (d *testDaemon) callOn(w *httptest.ResponseRecorder, path string, body, answer any) (fault.Body, bool) {
+	encoded, _ := json.Marshal(body)
+	r := httptest.NewRequest(http.MethodPost, "/v1/trainers/"+testTrainer+path, bytes.NewReader(encoded))
+	d.router.ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		var f fault.Body
+		_ = json.Unmarshal(w.Body.Bytes(), &f)
+		return f, false
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), answer); err != nil {
+		d.c.t.Error(err)
+	}
+	return fault.Body{}, true
+}
+
+func (d *testDaemon) session(token string) Session {
+	d.c.t.Helper()
+	var s Session
+	if f, ok := d.call("/sessions", OpenSession{Service: testService, Token: token}, &s); !ok {
+		d.c.t.Fatalf("session: %+v", f)
+	}
+	return s
+}
+
+func openStep(epoch, step int64, groups, samples int) OpenStep {
+	open := OpenStep{Service: testService, Epoch: epoch, Step: step}
+	for g := range groups {
+		open.Groups = append(open.Groups, Group{ID: fmt.Sprintf("g%d", g), Prompt: fmt.Sprintf("prompt %d", g), Samples: samples})
+	}
+	return open
+}
+
+func (d *testDaemon) step(open OpenStep) Step {
+	d.c.t.Helper()
+	var s Step
+	if f, ok := d.call("/steps", open, &s); !ok {
+		d.c.t.Fatalf("step: %+v", f)
+	}
+	return s
+}
+
+func (d *testDaemon) pull(p Pull) (Batch, fault.Body, bool) {
+	var b Batch
+	f, ok := d.call("/pull", p, &b)
+	return b, f, ok
+}
+
+// trainerClient pulls with one token chain and counts what it was given.
+type trainerClient struct {
+	c       *cluster
+	token   string
+	version int64
+	got     map[int]Sample
+	twice   []int
+}
+
+func newTrainer(c *cluster, token string) *trainerClient {
+	return &trainerClient{c: c, token: token, got: map[int]Sample{}}
+}
+
+// take takes in one answer.
+func (tr *trainerClient) take(b Batch) {
+	for _, s := range b.Samples {
+		if _, ok := tr.got[s.ID]; ok {
+			tr.twice = append(tr.twice, s.ID)
+		}
+		tr.got[s.ID] = s
+	}
+	tr.token = b.Token
+}
+
+// pullAll pulls through d until nothing remains.
+func (tr *trainerClient) pullAll(d *testDaemon) {
+	tr.c.t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for time.Now().Before(deadline) {
+		b, f, ok := d.pull(Pull{Token: tr.token, Version: tr.version, WaitMS: 2000})
+		if !ok {
+			tr.c.t.Fatalf("pull: %+v", f)
+		}
+		tr.take(b)
+		if b.Remaining == 0 {
+			return
+		}
+	}
+	tr.c.t.Fatalf("the step was not whole in time: %d samples", len(tr.got))
+}
+
+// check fails the test unless the trainer has each sample once, tagged.
+func (tr *trainerClient) check(samples int) {
+	tr.c.t.Helper()
+	if len(tr.twice) > 0 {
+		tr.c.t.Errorf("delivered twice: %v", tr.twice)
+	}
+	if len(tr.got) != samples {
+		tr.c.t.Errorf("delivered %d of %d samples", len(tr.got), samples)
+	}
+	for id, s := range tr.got {
+		if checkTags(s.Tokens, s.Segments) != nil {
+			tr.c.t.Errorf("sample %d is not tagged: %+v", id, s.Segments)
+		}
+	}
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// fakeGenerator generates samples at once unless hook holds them up.
+type fakeGenerator struct {
+	version func() int64
+
+	mu    sync.Mutex
+	calls int
+	hook  func(ctx context.Context, call int, r dispatch.SampleRequest) (dispatch.Completion, error)
+}
+
+func newFakeGenerator() *fakeGenerator { return &fakeGenerator{} }
+
+func (g *fakeGenerator) setHook(hook func(context.Context, int, dispatch.SampleRequest) (dispatch.Completion, error)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hook = hook
+}
+
+func (g *fakeGenerator) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calls
+}
+
+func (g *fakeGenerator) Generate(ctx context.Context, r dispatch.SampleRequest) (dispatch.Completion, error) {
+	g.mu.Lock()
+	g.calls++
+	call, hook := g.calls, g.hook
+	g.mu.Unlock()
+	if hook != nil {
+		return hook(ctx, call, r)
+	}
+	return g.whole(r, "e0", backend.Segment{Version: g.version(), Tokens: 8}), nil
+}
+
+// whole returns a whole completion.
+func (g *fakeGenerator) whole(r dispatch.SampleRequest, replica string, segments ...backend.Segment) dispatch.Completion {
+	tokens := 0
+	for _, s := range segments {
+		tokens += s.Tokens
+	}
+	now := time.Now()
+	return dispatch.Completion{Text: "text of " + r.Prompt, Tokens: tokens, Segments: segments, Replica: replica, Started: now.Add(-time.Millisecond), Ended: now}
+}
+
+type fakeVersions struct {
+	mu     sync.Mutex
+	newest int64
+}
+
+func (v *fakeVersions) set(version int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.newest = version
+}
+
+func (v *fakeVersions) Newest(string) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.newest
+}
+
+type countingRecorder struct {
+	mu     sync.Mutex
+	kept   map[alarm.Promise]int
+	broken []alarm.Evidence
+}
+
+func (r *countingRecorder) Kept(p alarm.Promise, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kept == nil {
+		r.kept = map[alarm.Promise]int{}
+	}
+	r.kept[p]++
+}
+
+func (r *countingRecorder) Broken(_ alarm.Promise, e alarm.Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, e)
+}
+
+// memoryStore is an object store with faults.
+type memoryStore struct {
+	mu         sync.Mutex
+	revision   int64
+	objects    map[string]platform.Object
+	down       bool
+	loseAnswer int // answers of writes that are lost after the write took effect
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]platform.Object{}} }
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, fault.New(fault.Unavailable, "down", "")
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return o, fault.New(fault.NotFound, "no object", "")
+	}
+	return o, nil
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) (platform.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := platform.Snapshot{Revision: s.revision}
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			snapshot.Objects = append(snapshot.Objects, o)
+		}
+	}
+	return snapshot, nil
+}
+
+func (s *memoryStore) Create(_ context.Context, key string, value []byte) (platform.Object, error) {
+	return s.put(key, value, 0)
+}
+
+func (s *memoryStore) Update(_ context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	return s.put(key, value, version)
+}
+
+func (s *memoryStore) put(key string, value []byte, version int64) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, fault.New(fault.Unavailable, "down", "")
+	}
+	if s.objects[key].Version != version {
+		return platform.Object{}, fault.New(fault.Conflict, "another version", "")
+	}
+	s.revision++
+	o := platform.Object{Key: key, Version: s.revision, Value: value}
+	s.objects[key] = o
+	if s.loseAnswer > 0 {
+		s.loseAnswer--
+		return platform.Object{}, fault.New(fault.Ambiguous, "answer lost", "")
+	}
+	return o, nil
+}
+
+func (s *memoryStore) Delete(_ context.Context, key string, version int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != version {
+		return fault.New(fault.Conflict, "another version", "")
+	}
+	delete(s.objects, key)
+	return nil
+}
+
+func (s *memoryStore) Watch(context.Context, string, int64) (platform.Watch, error) {
+	return nil, fault.New(fault.Unavailable, "no watches", "")
+}
+
+// testConns dials a fresh connection for each call.
+type testConns struct{}
+
+func (testConns) Conn(_ context.Context, address string) (drpc.Conn, error) {
+	return &dialedConn{address: address}, nil
+}
+
+type dialedConn struct{ address string }
+
+func (c *dialedConn) dial(ctx context.Context) (*drpcconn.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "not connected", "")
+	}
+	return drpcconn.New(conn), nil
+}
+
+func (c *dialedConn) Close() error               { return nil }
+func (c *dialedConn) Closed() <-chan struct{}    { return nil }
+func (c *dialedConn) Unblocked() <-chan struct{} { return nil }
+
+func (c *dialedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	conn, err := c.dial(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.Invoke(ctx, rpc, enc, in, out)
+}
+
+func (c *dialedConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	conn, err := c.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return conn.NewStream(ctx, rpc, enc)
+}
+
+// gate holds up all traffic of a frozen daemon.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{} // nil while open
+}
+
+func newGate() *gate { return &gate{} }
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed != nil {
+		<-closed
+	}
+}
+
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{conn, l.gate}, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.gate.pass()
+	return n, err
+}
+
+func (c gatedConn) Write(b []byte) (int, error) {
+	c.gate.pass()
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/rollout/http.go
@@ -0,0 +1,95 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+)
+
+// maxBodyBytes bounds the body of a trainer's call.
+const maxBodyBytes = 8 << 20
+
+// Routes adds the trainers' interface to r, which serves the paths below /v1/trainers.
+func (m *Manager) Routes(r chi.Router) {
+	r.Post("/{trainer}/sessions", m.serveSession)
+	r.Post("/{trainer}/steps", m.serveStep)
+	r.Post("/{trainer}/pull", m.servePull)
+}
+
+func (m *Manager) serveSession(w http.ResponseWriter, r *http.Request) {
+	var open OpenSession
+	trainer, err := readCall(w, r, &open)
+	if err != nil {
+		fault.WriteHTTP(w, err)
+		return
+	}
+	session, err := m.OpenSession(r.Context(), trainer, open)
+	writeAnswer(w, session, err)
+}
+
+func (m *Manager) serveStep(w http.ResponseWriter, r *http.Request) {
+	var open OpenStep
+	trainer, err := readCall(w, r, &open)
+	if err != nil {
+		fault.WriteHTTP(w, err)
+		return
+	}
+	step, err := m.OpenStep(r.Context(), trainer, open)
+	writeAnswer(w, step, err)
+}
+
+func (m *Manager) servePull(w http.ResponseWriter, r *http.Request) {
+	var pull Pull
+	trainer, err := readCall(w, r, &pull)
+	if err != nil {
+		fault.WriteHTTP(w, err)
+		return
+	}
+	if err := m.pull(r.Context(), trainer, pull, w); err != nil {
+		fault.WriteHTTP(w, err)
+	}
+}
+
+// readCall returns the trainer of the path and reads the JSON body into body.
+func readCall(w http.ResponseWriter, r *http.Request, body any) (trainer string, err error) {
+	trainer = chi.URLParam(r, "trainer")
+	if trainer == "" || len(trainer) > maxNameBytes {
+		return "", fault.New(fault.Invalid, "the trainer's name is empty or too long", "use a name of at most 256 bytes", fault.WithOutcome(fault.NotRun))
+	}
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(body); err != nil {
+		return "", fault.Wrap(err, fault.Invalid, "the request body can't be read", "send the JSON body that docs/API.md names, at most 8 MiB", fault.WithOutcome(fault.NotRun))
+	}
+	return trainer, nil
+}
+
+func writeAnswer(w http.ResponseWriter, answer any, err error) {
+	if err != nil {
+		fault.WriteHTTP(w, err)
+		return
+	}
+	body, err := encode(answer)
+	if err != nil {
+		fault.WriteHTTP(w, err)
+		return
+	}
+	writeBody(w, body)
+}
+
+func encode(answer any) ([]byte, error) {
+	var b bytes.Buffer
+	if err := json.NewEncoder(&b).Encode(answer); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the answer can't be encoded", "report this as a defect")
+	}
+	return b.Bytes(), nil
+}
+
+func writeBody(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -7,6 +7,7 @@
 // OpenSession is the body of POST /v1/trainers/{trainer}/sessions.
 type OpenSession struct {
 	Service string `json:"service"`
+	Token   string `json:"token,omitempty"` // the trainer's own older token, to be carried over
 }
 
 // Session answers OpenSession. A newer epoch ends the older sessions of the trainer.
@@ -14,7 +15,7 @@
 	Trainer string `json:"trainer"`
 	Service string `json:"service"`
 	Epoch   int64  `json:"epoch"`
-	Token   string `json:"token,omitempty"` // newest stored token of the trainer, if any
+	Token   string `json:"token,omitempty"` // the carried over or else the newest stored token, if any
 }
 
 // Group is one prompt with its number of samples.
