Rollout: hedges of stragglers, cut of stale samples, retries on other replicas

A sample is hedged at most once, when its token rate is well below that of its group's finished samples, within the service's hedge budget and a share of thrown away tokens. Samples in progress that are over the bound are cut at once. The staleness preference also begins a sample again on a newer version while little of it was generated.

--- a/rollout/group.go
+++ b/rollout/group.go
@@ -72,3 +72,14 @@
 	}
 	return nil
 }
+
+// finished returns the speeds of the group's finished samples.
+func (g *groupRun) finished() []finishedSample {
+	var found []finishedSample
+	for _, j := range g.siblings {
+		if tokens, took, ok := j.speed(); ok {
+			found = append(found, finishedSample{tokens: tokens, took: took})
+		}
+	}
+	return found
+}
--- a/rollout/job.go
+++ b/rollout/job.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
@@ -17,7 +14,8 @@
 const (
 	attemptBackoff     = 50 * time.Millisecond // before the next attempt of a sample, doubled each time
 	attemptBackoffMost = 2 * time.Second
-	excludeMost        = 2 // replicas of failed attempts that the next one avoids
+	excludeMost        = 2                     // replicas of failed attempts that the next one avoids
+	watchInterval      = 50 * time.Millisecond // between two looks at the attempts in progress
 )
 
 // job generates one sample, however many attempts it takes, and holds the result.
@@ -29,10 +27,15 @@
 	cancel context.CancelFunc
 	done   chan struct{} // closed when the sample is finished or the job was cancelled
 
+	// Used by the job's goroutine alone.
+	exclude   []string // replicas of the latest failed attempts
+	hedged    bool     // the one hedge was used
+	freshened bool     // the one restart on a newer version was used
+
 	mu       sync.Mutex
 	attached int       // runs that wait for it
 	used     time.Time // last attach or detach
-	sample   Sample    // valid after done, when ok
+	sample   Sample    // valid when ok
 	ok       bool
 	oldest   int64
 	took     time.Duration
@@ -105,18 +108,23 @@
 	return &rolloutpb.RunEvent{Id: j.key.id, Oldest: j.oldest, Tokens: int32(j.sample.Tokens), DurationMs: j.took.Milliseconds()}
 }
 
-// run makes attempts with a backoff until one is whole or the job is cancelled.
+// run makes attempts with a backoff until one is whole or the job is cancelled. A
+// sample that was cut as stale starts again without a pause.
 func (j *job) run() {
 	defer close(j.done)
 	backoff := attemptBackoff
-	for number := 1; j.ctx.Err() == nil; number++ {
-		c, err := j.attempt(number)
+	for j.ctx.Err() == nil {
+		c, err := j.race()
 		if err == nil {
 			j.finish(c)
 			return
 		}
+		if isCut(err) {
+			j.m.counters.cut.Add(1)
+			continue
+		}
 		j.m.counters.failed.Add(1)
-		j.m.parts.Log.Log(event.RolloutSampleFailed, event.F("step", j.key.step.placement()), event.F("sample", j.key.id), event.F("attempt", number), event.Err(err))
+		j.m.parts.Log.Log(event.RolloutSampleFailed, event.F("step", j.key.step.placement()), event.F("sample", j.key.id), event.Err(err))
 		j.pause(backoff)
 		backoff = min(2*backoff, attemptBackoffMost)
 	}
@@ -132,36 +140,85 @@
 	}
 }
 
-// attempt asks for the sample once. A completion whose version tags do not cover all
-// its tokens is an error.
-func (j *job) attempt(number int) (dispatch.Completion, error) {
-	c, err := j.m.parts.Generator.Generate(j.ctx, j.sampleRequest(number))
-	if err != nil {
-		return c, err
+// race makes one attempt, and a hedge beside it if it straggles. The first whole
+// completion wins and the other attempt is cancelled; nothing of it is used.
+func (j *job) race() (dispatch.Completion, error) {
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	results := make(chan attemptResult, 2)
+	attempts := []*attempt{j.start(ctx, results, j.exclude)}
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for failed := 0; ; {
+		select {
+		case r := <-results:
+			if r.err == nil {
+				j.countWin(r.attempt, attempts)
+				return r.completion, nil
+			}
+			j.avoid(r.attempt.replicaID())
+			failed++
+			if failed == len(attempts) {
+				return dispatch.Completion{}, r.err
+			}
+		case <-ticker.C:
+			j.cutStale(attempts)
+			if hedge := j.hedge(ctx, results, attempts, failed); hedge != nil {
+				attempts = append(attempts, hedge)
+			}
+		}
 	}
-	return c, checkTags(c.Tokens, c.Segments)
 }
 
-func (j *job) sampleRequest(number int) dispatch.SampleRequest {
-	d, group := j.group.definition, j.group.group
-	name := fmt.Sprintf("%s/%d/%x/%d", d.Trainer, d.Step, j.key.step.layout, j.key.id)
-	r := dispatch.SampleRequest{
-		Service:   d.Service,
-		RequestID: fmt.Sprintf("%s/%d-%s", name, number, newNonce()),
-		Key:       fmt.Sprintf("%s/%d/%s", d.Trainer, d.Step, group.Id),
-		Prompt:    group.Prompt,
-		MaxTokens: int(group.MaxTokens),
-		Seed:      int64(xxhash.Sum64String(name) >> 1),
+// avoid keeps the next attempts away from a replica whose attempt failed.
+func (j *job) avoid(replica string) {
+	if replica == "" {
+		return
 	}
-	if doc, err := j.m.document(d.Service); err == nil {
-		r.Team = doc.Team
+	j.exclude = append(j.exclude, replica)
+	if len(j.exclude) > excludeMost {
+		j.exclude = j.exclude[1:]
+	}
+}
+
+// hedge starts a second attempt on another replica when the only one straggles and
+// the service's budget allows it.
+func (j *job) hedge(ctx context.Context, results chan<- attemptResult, attempts []*attempt, failed int) *attempt {
+	if j.m.config.DisableHedging || j.hedged || len(attempts) != 1 || failed > 0 {
+		return nil
+	}
+	doc, err := j.m.document(j.group.definition.Service)
+	if err != nil || doc.Samples.Hedges == 0 || !j.straggles(attempts[0], doc) {
+		return nil
+	}
+	if !j.m.runner.speeds.takeHedge(doc) {
+		return nil
+	}
+	j.hedged = true
+	j.m.counters.hedged.Add(1)
+	j.m.parts.Log.Log(event.RolloutSampleHedged, event.F("step", j.key.step.placement()), event.F("sample", j.key.id))
+	hedge := j.start(ctx, results, append([]string{attempts[0].replicaID()}, j.exclude...))
+	hedge.hedge = true
+	return hedge
+}
+
+// countWin counts a hedge that won, and the tokens of the attempt that lost.
+func (j *job) countWin(winner *attempt, attempts []*attempt) {
+	if winner.hedge {
+		j.m.counters.hedgeWins.Add(1)
+	}
+	for _, a := range attempts {
+		if a != winner {
+			j.m.runner.speeds.throwAway(j.group.definition.Service, a.progress())
+		}
 	}
-	return r
 }
 
 // finish holds the sample.
 func (j *job) finish(c dispatch.Completion) {
 	j.m.counters.generated.Add(1)
+	took := c.Ended.Sub(c.Started)
+	j.m.runner.speeds.add(j.group.definition.Service, c.Tokens, took)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.sample = Sample{
@@ -174,5 +231,12 @@
 	}
 	j.ok = true
 	j.oldest = oldestVersion(c.Segments)
-	j.took = c.Ended.Sub(c.Started)
+	j.took = took
+}
+
+// speed returns the tokens and the duration of a finished sample.
+func (j *job) speed() (tokens int, took time.Duration, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.sample.Tokens, j.took, j.ok
 }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -69,7 +69,7 @@
 }
 
 type counters struct {
-	delivered, generated, failed, stale, cut, hedged, hedgeWins, discarded, rebuilt, fenced, busy, thrownAway atomic.Int64
+	delivered, generated, failed, stale, cut, hedged, hedgeWins, discarded, rebuilt, fenced, busy atomic.Int64
 }
 
 // NewManager returns a Manager. Register and Run start it.
@@ -219,7 +219,7 @@
 		"rebuilt":     c.rebuilt.Load(),
 		"fenced":      c.fenced.Load(),
 		"busy":        c.busy.Load(),
-		"thrown_away": c.thrownAway.Load(),
+		"thrown_away": m.runner.speeds.thrownAway(),
 		"steps":       int64(m.stepCount()),
 		"payloads":    int64(m.runner.held()),
 		"groups":      int64(m.runner.groupsInProgress()),
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -17,7 +17,8 @@
 // the owner says that the trainer has them. A sample belongs to its step, not to the
 // owner that asked for it: a new owner finds it again.
 type runner struct {
-	m *Manager
+	m      *Manager
+	speeds *speeds
 
 	mu     sync.Mutex
 	jobs   map[jobKey]*job
@@ -38,7 +39,7 @@
 }
 
 func newRunner(m *Manager) *runner {
-	return &runner{m: m, jobs: map[jobKey]*job{}, groups: map[groupKey]int{}}
+	return &runner{m: m, speeds: newSpeeds(), jobs: map[jobKey]*job{}, groups: map[groupKey]int{}}
 }
 
 // run runs one group and sends an event for each finished sample, a heartbeat at
@@ -92,7 +93,7 @@
 func (r *runner) attach(g *groupRun) []*job {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	jobs := make([]*job, 0, len(g.request.Wanted))
+	var started []*job
 	for _, id := range g.request.Wanted {
 		key := jobKey{step: g.key.step, id: id}
 		j, ok := r.jobs[key]
@@ -103,13 +104,24 @@
 		if !ok {
 			j = newJob(r.m, g, id)
 			r.jobs[key] = j
-			go j.run()
+			started = append(started, j)
 		}
 		j.attach()
-		jobs = append(jobs, j)
+		g.siblings = append(g.siblings, j)
+	}
+	r.earnHedges(g, len(started))
+	for _, j := range started {
+		go j.run()
+	}
+	return g.siblings
+}
+
+// earnHedges gives the service hedge credit for samples that are started.
+func (r *runner) earnHedges(g *groupRun, samples int) {
+	doc, err := r.m.document(g.definition.Service)
+	if err == nil {
+		r.speeds.earn(doc, samples)
 	}
-	g.siblings = jobs
-	return jobs
 }
 
 // payloads returns the finished samples of the request that are held here.
