peer: drpc server and connection pool with progress deadlines

Cause: daemons call each other; a drpc connection carries one call at a time and an open connection can go silent for good. Errors of package fault cross the wire with kind, outcome and remedy. Bytes and calls are counted.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,16 +1,17 @@
 // Package peer carries drpc calls between daemons: one server a daemon and a pool
 // of connections to other daemons, each with a progress deadline.
+//
+// A connection carries one call or stream at a time; the pool opens as many as there
+// are calls at once and keeps some for reuse. Errors of package fault that a handler
+// returns reach the caller with kind, outcome and remedy.
 package peer
 
 import (
 	"context"
-	"net"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmux"
-
-	"github.com/hornbeamtide/hornbeamtide/event"
 )
 
 // Config bounds the waits on peers.
@@ -19,48 +20,67 @@
 	Progress time.Duration // longest silence of a connection with a call in progress
 }
 
+const (
+	defaultConnect  = time.Second
+	defaultProgress = 3 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Connect <= 0 {
+		c.Connect = defaultConnect
+	}
+	if c.Progress <= 0 {
+		c.Progress = defaultProgress
+	}
+	return c
+}
+
 // Conns gives out drpc connections by address. A connection that failed or went
 // silent is closed and the next call uses a fresh one.
 type Conns interface {
 	// Conn returns a connection that is valid for calls until its Close. Callers do
-	// not close it.
+	// not close it. Calls fail with fault.Unavailable when the peer does not answer,
+	// with outcome fault.NotRun if no connection was established.
 	Conn(ctx context.Context, address string) (drpc.Conn, error)
 }
 
-// Pool is the Conns of a daemon.
-type Pool struct {
-	config Config
-	log    *event.Logger
-}
+type progressKey struct{}
 
-// NewPool returns an empty pool.
-func NewPool(config Config, log *event.Logger) *Pool {
-	return &Pool{config: config, log: log}
+// WithProgress returns a context whose calls may be silent for d instead of
+// Config.Progress. Calls whose answer takes longer to make need it; streams should
+// carry a message each second instead.
+func WithProgress(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, progressKey{}, d)
 }
 
-// Server serves the drpc services of a daemon.
-type Server struct {
-	mux *drpcmux.Mux
-	log *event.Logger
+func progressOf(ctx context.Context, otherwise time.Duration) time.Duration {
+	if d, ok := ctx.Value(progressKey{}).(time.Duration); ok {
+		return d
+	}
+	return otherwise
 }
 
-// NewServer returns a server without services.
-func NewServer(log *event.Logger) *Server {
-	return &Server{mux: drpcmux.New(), log: log}
+// Counters counts the traffic of a Pool or a Server.
+type Counters struct {
+	BytesSent     int64 `json:"bytes_sent"`
+	BytesReceived int64 `json:"bytes_received"`
+	Calls         int64 `json:"calls"`       // calls and streams started
+	Connections   int64 `json:"connections"` // connections established
+	Failures      int64 `json:"failures"`    // connections that could not be established
+	Stalls        int64 `json:"stalls"`      // connections closed for silence
 }
 
-// Mux returns where packages register their services before Serve.
-func (s *Server) Mux() drpc.Mux { return s.mux }
-
-// Serve accepts connections until ctx ends, then closes the listener and every connection.
-func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	panic("not implemented")
+type counters struct {
+	sent, received, calls, connections, failures, stalls atomic.Int64
 }
 
-// Conn implements Conns.
-func (p *Pool) Conn(ctx context.Context, address string) (drpc.Conn, error) {
-	panic("not implemented")
+func (c *counters) read() Counters {
+	return Counters{
+		BytesSent:     c.sent.Load(),
+		BytesReceived: c.received.Load(),
+		Calls:         c.calls.Load(),
+		Connections:   c.connections.Load(),
+		Failures:      c.failures.Load(),
+		Stalls:        c.stalls.Load(),
+	}
 }
-
-// Close closes all connections.
-func (p *Pool) Close() {}
