fleet: thin Manager that reads list and documents from the platform

Cause: the whole path needs members, owners, replicas and documents in force. Change: roster and immutable view, rendezvous placement, document set that only takes higher object versions, Apply, Get and Status of this daemon. Each daemon reads the platform itself for now; collectors follow.

--- /dev/null
+++ b/fleet/admin.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"strconv"
+
+	"github.com/hornbeamtide/hornbeamtide/document"
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// Apply implements Admin.
+func (m *Manager) Apply(ctx context.Context, source []byte, version int64) (document.Versioned, error) {
+	parsed, err := m.config.Parse("document", source)
+	if err != nil {
+		return document.Versioned{}, err
+	}
+	object, err := m.writeDocument(ctx, documentKey(parsed.Service), source, version)
+	if err != nil {
+		return document.Versioned{}, m.refusal(ctx, parsed.Service, version, err)
+	}
+	m.touch()
+	m.documents.offer(revision{Service: parsed.Service, Version: object.Version, Source: source, Accepted: m.config.Now()})
+	m.log.Log(event.DocumentAccepted, event.F("service", parsed.Service), event.F("version", object.Version))
+	return document.Versioned{Document: parsed, Version: object.Version, Source: source}, nil
+}
+
+func (m *Manager) writeDocument(ctx context.Context, key string, source []byte, version int64) (platform.Object, error) {
+	if version == 0 {
+		return platform.CreateSettled(ctx, m.store, key, source)
+	}
+	return platform.UpdateSettled(ctx, m.store, key, source, version)
+}
+
+// refusal says what became of a change whose write failed.
+func (m *Manager) refusal(ctx context.Context, service string, version int64, err error) error {
+	switch fault.KindOf(err) {
+	case fault.Conflict:
+		return m.conflict(ctx, service, version, err)
+	case fault.Ambiguous:
+		return fault.Wrap(err, fault.Ambiguous, "the change of "+service+" may have been applied", "read the document before trying again")
+	case fault.Unavailable, fault.Overloaded:
+		return fault.Wrap(err, fault.KindOf(err), "the change of "+service+" was not applied",
+			"documents in force stay so; try again when the platform answers", fault.WithOutcome(fault.NotRun))
+	}
+	return err
+}
+
+// conflict names both versions.
+func (m *Manager) conflict(ctx context.Context, service string, version int64, cause error) error {
+	current := "another version"
+	if object, err := m.store.Get(ctx, documentKey(service)); err == nil {
+		current = "version " + strconv.FormatInt(object.Version, 10)
+	} else if fault.Is(err, fault.NotFound) {
+		current = "deleted (version 0)"
+	}
+	return fault.Wrap(cause, fault.Conflict,
+		"the document of "+service+" is "+current+" and the change was made on version "+strconv.FormatInt(version, 10),
+		"read the document, repeat the change on it and apply it with that version", fault.WithOutcome(fault.NotRun))
+}
+
+// Get implements Admin. While the platform is down it returns the document in force
+// on this daemon.
+func (m *Manager) Get(ctx context.Context, service string) (document.Versioned, error) {
+	object, err := m.store.Get(ctx, documentKey(service))
+	if fault.Is(err, fault.Unavailable) {
+		if held, ok := m.Document(service); ok {
+			return held, nil
+		}
+	}
+	if err != nil {
+		return document.Versioned{}, err
+	}
+	m.touch()
+	parsed, err := m.config.Parse(service, object.Value)
+	if err != nil {
+		return document.Versioned{}, err
+	}
+	return document.Versioned{Document: parsed, Version: object.Version, Source: object.Value}, nil
+}
+
+// Status implements Admin.
+func (m *Manager) Status(ctx context.Context) ([]ServiceStatus, error) {
+	var all []ServiceStatus
+	for _, held := range m.All() {
+		all = append(all, ServiceStatus{
+			Service: held.Document.Service, Version: held.Version,
+			InForce: []string{m.config.Self.ID}, Behind: []Behind{},
+		})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Service < all[j].Service })
+	return all, nil
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,12 +7,7 @@
 	"context"
 	"time"
 
-	"storj.io/drpc"
-
 	"github.com/hornbeamtide/hornbeamtide/document"
-	"github.com/hornbeamtide/hornbeamtide/event"
-	"github.com/hornbeamtide/hornbeamtide/peer"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
 // Member is one daemon.
@@ -87,38 +82,3 @@
 	// Status returns where each document is in force, ordered by service.
 	Status(ctx context.Context) ([]ServiceStatus, error)
 }
-
-// Config configures a Manager.
-type Config struct {
-	Self              Member
-	ReportInterval    time.Duration // between two reports to the collector
-	ListInterval      time.Duration // between two reads of the instance list by a collector
-	MemberTimeout     time.Duration // silence after which a member counts as gone
-	IsolationLimit    time.Duration // without platform and peers before new work is refused
-	DirectInterval    time.Duration // between reads of the platform by a member without collectors
-	SubsetSize        int           // servers of a pool that one daemon talks to
-	CollectorsADomain int           // collectors in each failure domain
-}
-
-// Manager implements View, Documents and Admin.
-type Manager struct {
-	config Config
-	store  platform.ObjectStore
-	list   platform.InstanceList
-	conns  peer.Conns
-	log    *event.Logger
-}
-
-// NewManager returns a Manager that knows nothing but itself until Run.
-func NewManager(config Config, store platform.ObjectStore, list platform.InstanceList, conns peer.Conns, log *event.Logger) *Manager {
-	return &Manager{config: config, store: store, list: list, conns: conns, log: log}
-}
-
-// Register adds the package's drpc services to mux.
-func (m *Manager) Register(mux drpc.Mux) error { return nil }
-
-// Run keeps the view current until ctx ends.
-func (m *Manager) Run(ctx context.Context) error { <-ctx.Done(); return nil }
-
-// Drain marks this daemon as leaving and hands its roles over.
-func (m *Manager) Drain(ctx context.Context) {}
--- /dev/null
+++ b/fleet/manager.go
@@ -0,0 +1,155 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/hornbeamtide/hornbeamtide/document"
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// Config configures a Manager. Zero durations and counts take the defaults of
+// docs/API.md.
+type Config struct {
+	Self              Member
+	ReportInterval    time.Duration // between two reports to the collector
+	ListInterval      time.Duration // between two reads of the instance list by a collector
+	MemberTimeout     time.Duration // silence after which a member counts as gone
+	IsolationLimit    time.Duration // without platform and peers before new work is refused
+	DirectInterval    time.Duration // between reads of the platform by a member without collectors
+	SubsetSize        int           // servers of a pool that one daemon talks to
+	CollectorsADomain int           // collectors in each failure domain
+
+	// Parse reads documents; document.Parse if nil.
+	Parse func(name string, source []byte) (*document.Document, error)
+	// Now is the clock of Isolated and of leaving marks; time.Now if nil.
+	Now func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.ReportInterval, time.Second)
+	setDuration(&c.ListInterval, time.Second)
+	setDuration(&c.MemberTimeout, 4*time.Second)
+	setDuration(&c.IsolationLimit, 10*time.Second)
+	setDuration(&c.DirectInterval, 2*time.Second)
+	if c.SubsetSize <= 0 {
+		c.SubsetSize = defaultSubsetSize
+	}
+	if c.CollectorsADomain <= 0 {
+		c.CollectorsADomain = 2
+	}
+	if c.Parse == nil {
+		c.Parse = document.Parse
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+func setDuration(d *time.Duration, otherwise time.Duration) {
+	if *d <= 0 {
+		*d = otherwise
+	}
+}
+
+// Manager implements View, Documents and Admin.
+type Manager struct {
+	config Config
+	store  platform.ObjectStore
+	list   platform.InstanceList
+	conns  peer.Conns
+	log    *event.Logger
+
+	documents *documentSet
+	contact   atomic.Int64 // ns since the Unix epoch: last answer of the platform or a peer
+	current   atomic.Pointer[view]
+
+	mu     sync.Mutex
+	roster roster
+}
+
+// NewManager returns a Manager that knows nothing but itself until Run.
+func NewManager(config Config, store platform.ObjectStore, list platform.InstanceList, conns peer.Conns, log *event.Logger) *Manager {
+	config = config.withDefaults()
+	m := &Manager{
+		config: config, store: store, list: list, conns: conns, log: log,
+		documents: newDocumentSet(config.Parse, log),
+		roster: roster{
+			self:       config.Self,
+			subsetSize: config.SubsetSize,
+			leaving:    map[string]time.Time{},
+			silent:     map[string]bool{},
+		},
+	}
+	m.contact.Store(config.Now().UnixNano())
+	m.current.Store(m.roster.build())
+	return m
+}
+
+// Register adds the package's drpc services to mux.
+func (m *Manager) Register(mux drpc.Mux) error { return nil }
+
+// Run keeps the view current until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		m.readPlatform(ctx)
+		wait(ctx, jitter(m.config.ReportInterval))
+	}
+	return nil
+}
+
+// Drain marks this daemon as leaving and hands its roles over.
+func (m *Manager) Drain(ctx context.Context) {
+	m.update(func(r *roster) bool {
+		r.drained = true
+		return true
+	})
+}
+
+// Ready reports whether documents and the instance list are known.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.known && m.documents.ready()
+}
+
+// update changes the roster and publishes a new view if change reports true.
+func (m *Manager) update(change func(*roster) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if change(&m.roster) {
+		m.current.Store(m.roster.build())
+	}
+}
+
+// touch records that the platform or a peer answered.
+func (m *Manager) touch() { m.contact.Store(m.config.Now().UnixNano()) }
+
+// Isolated implements View.
+func (m *Manager) Isolated() (time.Time, bool) {
+	since := time.Unix(0, m.contact.Load())
+	return since, m.config.Now().Sub(since) > m.config.IsolationLimit
+}
+
+// jitter returns a duration between half and one and a half of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
+}
+
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
