--- /dev/null
+++ b/document/inifile/schema.go
@@ -0,0 +1,169 @@
+package inifile
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+)
+
+// SectionSchema describes one section that decodes into a T.
+type SectionSchema[T any] struct {
+	Name     string
+	Repeated bool   // written as [name "argument"], any number of times
+	Text     string // what the section is about
+	Keys     []KeySchema[T]
+}
+
+// KeySchema describes one key.
+type KeySchema[T any] struct {
+	Name     string
+	Unit     string // unit or form of the value
+	Default  string // INI text; not used for a required key
+	Required bool
+	Range    string // allowed values, for people
+	Text     string // what the key means
+	set      func(target *T, value string) error
+	get      func(target *T) string
+}
+
+// Apply sets the defaults of all keys, then the section's entries. section is nil
+// when the file has none.
+func (s *SectionSchema[T]) Apply(file *File, section *Section, target *T) error {
+	for _, key := range s.Keys {
+		if key.Required {
+			continue
+		}
+		if err := key.set(target, key.Default); err != nil {
+			return fault.Wrap(err, fault.Internal, "default of "+s.Name+"."+key.Name, "report this defect")
+		}
+	}
+	if section != nil {
+		if err := s.applyEntries(file, section, target); err != nil {
+			return err
+		}
+	}
+	return s.checkRequired(file, section)
+}
+
+func (s *SectionSchema[T]) applyEntries(file *File, section *Section, target *T) error {
+	for _, entry := range section.Entries {
+		key := s.key(entry.Key)
+		if key == nil {
+			remedy := "use one of: " + strings.Join(s.names(), ", ")
+			return Errorf(fault.Unrecognized, file.Name, entry.Line, remedy, "unknown key %q in section [%s]", entry.Key, s.Name)
+		}
+		if err := key.set(target, entry.Value); err != nil {
+			return Errorf(fault.Invalid, file.Name, entry.Line, "give "+key.allowed(), "%s: %v", entry.Key, err)
+		}
+	}
+	return nil
+}
+
+func (s *SectionSchema[T]) checkRequired(file *File, section *Section) error {
+	line, present := 1, map[string]bool{}
+	if section != nil {
+		line = section.Line
+		for _, entry := range section.Entries {
+			present[entry.Key] = true
+		}
+	}
+	for _, key := range s.Keys {
+		if key.Required && !present[key.Name] {
+			remedy := fmt.Sprintf("add %s = … to section [%s]", key.Name, s.Name)
+			return Errorf(fault.Invalid, file.Name, line, remedy, "required key %q of section [%s] is missing", key.Name, s.Name)
+		}
+	}
+	return nil
+}
+
+func (s *SectionSchema[T]) key(name string) *KeySchema[T] {
+	for i := range s.Keys {
+		if s.Keys[i].Name == name {
+			return &s.Keys[i]
+		}
+	}
+	return nil
+}
+
+func (s *SectionSchema[T]) names() []string {
+	names := make([]string, 0, len(s.Keys))
+	for _, key := range s.Keys {
+		names = append(names, key.Name)
+	}
+	return names
+}
+
+func (k *KeySchema[T]) allowed() string {
+	if k.Unit == "" {
+		return k.Range
+	}
+	return k.Unit + ", " + k.Range
+}
+
+// Write appends the section's keys and values to b.
+func (s *SectionSchema[T]) Write(b *strings.Builder, title string, target *T) {
+	fmt.Fprintf(b, "[%s]\n", title)
+	for _, key := range s.Keys {
+		fmt.Fprintf(b, "%s = %s\n", key.Name, key.get(target))
+	}
+	b.WriteString("\n")
+}
+
+// ApplyAll applies a table of sections that occur at most once. rest takes the
+// sections that the table does not have; it returns false for an unknown one.
+func ApplyAll[T any](file *File, table []SectionSchema[T], target *T, rest func(*Section) (known bool, err error)) error {
+	if err := checkSections(file, table, rest); err != nil {
+		return err
+	}
+	for i := range table {
+		if err := table[i].Apply(file, find(file, table[i].Name), target); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkSections[T any](file *File, table []SectionSchema[T], rest func(*Section) (bool, error)) error {
+	for i := range file.Sections {
+		section := &file.Sections[i]
+		if inTable(table, section) {
+			continue
+		}
+		known, err := rest(section)
+		if err != nil {
+			return err
+		}
+		if !known {
+			remedy := "see the documentation for the sections that exist: " + sectionNames(table)
+			return Errorf(fault.Unrecognized, file.Name, section.Line, remedy, "unknown section [%s]", section.title())
+		}
+	}
+	return nil
+}
+
+func inTable[T any](table []SectionSchema[T], section *Section) bool {
+	for i := range table {
+		if table[i].Name == section.Name && section.Argument == "" {
+			return true
+		}
+	}
+	return false
+}
+
+func sectionNames[T any](table []SectionSchema[T]) string {
+	names := make([]string, 0, len(table))
+	for i := range table {
+		names = append(names, table[i].Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func find(file *File, name string) *Section {
+	for i := range file.Sections {
+		if file.Sections[i].Name == name {
+			return &file.Sections[i]
+		}
+	}
+	return nil
+}
--- a/document/parse.go
+++ b/document/parse.go
@@ -1,10 +1,74 @@
 package document
 
-import "github.com/hornbeamtide/hornbeamtide/fault"
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/hornbeamtide/hornbeamtide/document/inifile"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+)
 
 // Parse reads a document. name is the file name used in error messages. An unknown
 // section, key or value is refused with fault.Unrecognized or fault.Invalid, whose
 // message names file, line and remedy.
 func Parse(name string, source []byte) (*Document, error) {
-	return nil, fault.New(fault.Internal, "not implemented", "")
+	file, err := inifile.Load(name, source)
+	if err != nil {
+		return nil, err
+	}
+	d := &Document{}
+	err = inifile.ApplyAll(file, Sections(), d, func(section *inifile.Section) (bool, error) {
+		return d.parseTeam(file, section)
+	})
+	if err != nil {
+		return nil, err
+	}
+	sort.Slice(d.Teams, func(i, j int) bool { return d.Teams[i].Team < d.Teams[j].Team })
+	return d, d.checkKind(file)
+}
+
+func (d *Document) parseTeam(file *inifile.File, section *inifile.Section) (known bool, err error) {
+	if section.Name != TeamSection {
+		return false, nil
+	}
+	if !inifile.NamePattern.MatchString(section.Argument) {
+		return true, inifile.Errorf(fault.Invalid, file.Name, section.Line, `write it as [team "name"]`, "%q is not a team's name", section.Argument)
+	}
+	schema, share := Team(), TeamShare{Team: section.Argument}
+	if err := schema.Apply(file, section, &share); err != nil {
+		return true, err
+	}
+	d.Teams = append(d.Teams, share)
+	return true, nil
+}
+
+// checkKind refuses samples of plain services and clears their defaults.
+func (d *Document) checkKind(file *inifile.File) error {
+	if d.Kind == Model {
+		return nil
+	}
+	for _, section := range file.Sections {
+		if section.Name == "samples" {
+			return inifile.Errorf(fault.Invalid, file.Name, section.Line, "remove the section or write kind = model", "section [samples] does not fit kind = %s", d.Kind)
+		}
+	}
+	d.Samples = Samples{}
+	return nil
+}
+
+// Format returns the INI text of d with every key, such that Parse returns d again.
+func Format(d *Document) []byte {
+	var b strings.Builder
+	for _, section := range Sections() {
+		if section.Name == "samples" && d.Kind != Model {
+			continue
+		}
+		section.Write(&b, section.Name, d)
+	}
+	team := Team()
+	for i := range d.Teams {
+		team.Write(&b, fmt.Sprintf("%s %q", TeamSection, d.Teams[i].Team), &d.Teams[i])
+	}
+	return []byte(b.String())
 }
