daemon, cmd, alarm: settings, wiring, HTTP interface, drain and the first commands

Cause: the whole path needs a process to run in. Conclusion: builds and refuses cleanly; it starts once the other modules implement their interfaces (dig names the first that does not).

--- /dev/null
+++ b/alarm/remedy.go
@@ -0,0 +1,36 @@
+package alarm
+
+// Promises returns all promises in the order of their pages.
+func Promises() []Promise {
+	return []Promise{
+		VersionTags, StalenessBound, ExactlyOnce, WholeAnswers, NotRunTruth,
+		AtMostOnce, LeavingServers, PlannedStop, InForce, TrainerIdle,
+	}
+}
+
+// RemedyFor returns what an operator does about a broken promise.
+func RemedyFor(p Promise) string {
+	switch p {
+	case VersionTags:
+		return "take the replica out of the pool: its engine names no weight version; samples were generated again"
+	case StalenessBound:
+		return "raise samples.staleness_bound, ask for fewer samples a step, or publish weights less often"
+	case ExactlyOnce:
+		return "stop the trainer, compare its sample ids with the step's, and open a new session"
+	case WholeAnswers:
+		return "look for the replica named in the evidence: its answers end early or are crossed"
+	case NotRunTruth:
+		return "treat the named requests as unknown and check their effect on the backend server"
+	case AtMostOnce:
+		return "check the effect of the named request on the backend server and undo the second run"
+	case LeavingServers:
+		return "look at the named server in the dump: it still gets work after servers.leave_bound"
+	case PlannedStop:
+		return "raise daemon.drain_time above the longest deadline of the services"
+	case InForce:
+		return "look at the daemons that status lists as behind, and restart those that do not catch up"
+	case TrainerIdle:
+		return "look at the step in the dump: add replicas, lower max_tokens or raise samples.step_time"
+	}
+	return "see the evidence"
+}
--- a/cmd/hornbeamtide/main.go
+++ b/cmd/hornbeamtide/main.go
@@ -1,4 +1,8 @@
 // Command hornbeamtide is the rollout service: daemon and operator's tool in one.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,153 @@
+package daemon
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/document/inifile"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+)
+
+// Settings are what one daemon is told by its settings file.
+type Settings struct {
+	Daemon   InstanceSettings
+	Platform PlatformSettings
+	Peers    PeerSettings
+	Backends BackendSettings
+	Weights  WeightSettings
+	Claims   ClaimSettings
+	Log      LogSettings
+}
+
+// InstanceSettings holds the [daemon] section.
+type InstanceSettings struct {
+	ID            string
+	HTTPAddress   string // host:port, port 0 for a free one
+	PeerAddress   string // host:port, port 0 for a free one
+	Region        string
+	FailureDomain string
+	DataFolder    string // empty: nothing is kept
+	DrainTime     time.Duration
+	DrainNotice   time.Duration
+}
+
+// PlatformSettings holds the [platform] section.
+type PlatformSettings struct {
+	Address       string
+	WeightAddress string
+	CallTimeout   time.Duration
+	Progress      time.Duration
+	ReadRate      int
+	WriteRate     int
+}
+
+// PeerSettings holds the [peers] section.
+type PeerSettings struct {
+	Connect        time.Duration
+	Progress       time.Duration
+	ReportInterval time.Duration
+	ListInterval   time.Duration
+	MemberTimeout  time.Duration
+	IsolationLimit time.Duration
+	DirectInterval time.Duration
+}
+
+// Policy is the way in which backend servers are chosen.
+type Policy string
+
+// The policies.
+const (
+	Affinity   Policy = "affinity"
+	Random     Policy = "random"
+	RoundRobin Policy = "round_robin"
+	LeastLoad  Policy = "least_load"
+)
+
+// BackendSettings holds the [backends] section.
+type BackendSettings struct {
+	Connect      time.Duration
+	FirstByte    time.Duration
+	Progress     time.Duration
+	PollInterval time.Duration
+	Policy       Policy
+	LoadBound    float64
+}
+
+// WeightSettings holds the [weights] section.
+type WeightSettings struct {
+	PollInterval time.Duration
+	Lease        time.Duration
+	StageAtOnce  int
+}
+
+// ClaimSettings holds the [claims] section.
+type ClaimSettings struct {
+	Shards        int
+	BatchInterval time.Duration
+}
+
+// LogLevel is the least severe level that is written.
+type LogLevel string
+
+// LogFormat is the form of log entries.
+type LogFormat string
+
+// LogSettings holds the [log] section.
+type LogSettings struct {
+	Level  LogLevel
+	Format LogFormat
+}
+
+// LoadSettings reads and checks a settings file. Unknown or wrong content is refused
+// with fault.Unrecognized or fault.Invalid, naming file, line and remedy.
+func LoadSettings(path string) (Settings, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fault.Wrap(err, fault.Invalid, "settings can't be read", "name an existing settings file", fault.WithOutcome(fault.NotRun))
+	}
+	return ParseSettings(path, source)
+}
+
+// ParseSettings is LoadSettings for a text; name is used in errors.
+func ParseSettings(name string, source []byte) (Settings, error) {
+	file, err := inifile.Load(name, source)
+	if err != nil {
+		return Settings{}, err
+	}
+	var s Settings
+	none := func(*inifile.Section) (bool, error) { return false, nil }
+	if err := inifile.ApplyAll(file, SettingsSections(), &s, none); err != nil {
+		return Settings{}, err
+	}
+	return s, s.checkDataFolder(file)
+}
+
+func (s *Settings) checkDataFolder(file *inifile.File) error {
+	folder := s.Daemon.DataFolder
+	if folder == "" {
+		return nil
+	}
+	info, err := os.Stat(folder)
+	if err == nil && info.IsDir() {
+		return nil
+	}
+	line := file.LineOf("daemon", "data_folder")
+	return inifile.Errorf(fault.Invalid, file.Name, line, "create the folder or leave the value empty", "data_folder: %q is not a folder", folder)
+}
+
+// checkAddress accepts IP:port, since processes talk by IP numbers.
+func checkAddress(value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return &net.AddrError{Err: "host is not an IP number", Addr: value}
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || strconv.FormatUint(n, 10) != port {
+		return &net.AddrError{Err: "port is not a number from 0 to 65535", Addr: value}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/settings_test.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestSettingsOfTheInterfacePageAreAccepted(t *testing.T) {
+	page, err := os.ReadFile("../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, found := strings.Cut(string(page), "    [daemon]")
+	if !found {
+		t.Fatal("no settings in docs/API.md")
+	}
+	text, _, _ = strings.Cut("    [daemon]"+text, "\nThe platform's")
+	s, err := ParseSettings("API.md", []byte(strings.ReplaceAll(text, "\n    ", "\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Daemon.ID != "d1" || s.Claims.Shards != 8 || s.Daemon.DataFolder != "" {
+		t.Errorf("settings %+v", s)
+	}
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
+)
+
+// Status answers GET /v1/status.
+type Status struct {
+	Daemon     string                `json:"daemon"`
+	State      State                 `json:"state"`
+	InProgress int                   `json:"in_progress"` // requests
+	Documents  []fleet.ServiceStatus `json:"documents"`
+	Members    []MemberStatus        `json:"members"`
+	Alarms     []alarm.Alarm         `json:"alarms"`
+}
+
+// MemberStatus is one live daemon of the region.
+type MemberStatus struct {
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Health answers GET /health and GET /ready.
+type Health struct {
+	State State  `json:"state"`
+	Ready bool   `json:"ready"`
+	Since string `json:"isolated_since,omitempty"`
+}
+
+// status collects the Status. An error of Documents leaves them empty.
+func (d *Daemon) status(r *http.Request) (Status, error) {
+	state, progress := d.gate.current()
+	documents, err := d.modules.Admin.Status(r.Context())
+	return Status{
+		Daemon:     d.settings.Daemon.ID,
+		State:      state,
+		InProgress: progress,
+		Documents:  documents,
+		Members:    d.members(),
+		Alarms:     d.modules.Alarms.Raised(),
+	}, err
+}
+
+func (d *Daemon) members() []MemberStatus {
+	members := d.modules.View.Members()
+	out := make([]MemberStatus, 0, len(members))
+	for _, m := range members {
+		out = append(out, MemberStatus{ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain})
+	}
+	return out
+}
+
+func (d *Daemon) getStatus(w http.ResponseWriter, r *http.Request) {
+	status, err := d.status(r)
+	if err != nil {
+		fault.WriteHTTP(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (d *Daemon) getAlarms(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, d.modules.Alarms.Raised())
+}
+
+func (d *Daemon) getHealth(w http.ResponseWriter, _ *http.Request) {
+	health := d.health()
+	status := http.StatusOK
+	if health.State != Live {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, health)
+}
+
+func (d *Daemon) getReady(w http.ResponseWriter, _ *http.Request) {
+	health := d.health()
+	status := http.StatusOK
+	if health.State != Live || !health.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, health)
+}
+
+func (d *Daemon) health() Health {
+	state, _ := d.gate.current()
+	health := Health{State: state, Ready: d.ready()}
+	if since, isolated := d.modules.View.Isolated(); isolated {
+		health.Since = since.UTC().Format(time.RFC3339)
+	}
+	return health
+}
+
+// readiness is implemented by a fleet that tells when it knows documents and instances.
+type readiness interface{ Ready() bool }
+
+func (d *Daemon) ready() bool {
+	if fleet, ok := any(d.modules.Fleet).(readiness); ok {
+		return fleet.Ready()
+	}
+	return len(d.modules.Documents.All()) > 0
+}
--- /dev/null
+++ b/daemon/wiring.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"github.com/hornbeamtide/hornbeamtide/admission"
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/claims"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/rollout"
+	"github.com/hornbeamtide/hornbeamtide/routing"
+	"github.com/hornbeamtide/hornbeamtide/weights"
+)
+
+// Bounds that need no setting.
+const (
+	subsetSize        = 24               // servers of a pool that one daemon talks to
+	collectorsADomain = 2                //
+	groupsInProgress  = 64               // groups that one daemon runs at a time
+	stepRetention     = 2 * time.Hour    // an idle step is forgotten after this
+	tokenInterval     = 5 * time.Second  // between two stores of a trainer's newest token
+	claimRetention    = 24 * time.Hour   // a request key is remembered for this long
+	alarmClearAfter   = 30 * time.Second // an alarm clears without a new break
+)
+
+// listeners are bound before any module exists, so that nothing half-starts.
+type listeners struct {
+	http net.Listener
+	peer net.Listener
+}
+
+func (l listeners) close() {
+	_ = l.http.Close()
+	_ = l.peer.Close()
+}
+
+// modules are the parts of a daemon.
+type modules struct {
+	dig.In
+
+	Client    *platform.Client
+	Conns     *peer.Pool
+	Server    *peer.Server
+	Fleet     *fleet.Manager
+	View      fleet.View
+	Documents fleet.Documents
+	Admin     fleet.Admin
+	Routing   *routing.Store
+	Admission *admission.Controller
+	Backends  *backend.Client
+	Claims    *claims.Manager
+	Dispatch  *dispatch.Manager
+	Rollout   *rollout.Manager
+	Weights   *weights.Manager
+	Alarms    *alarm.Manager
+}
+
+// wire builds the modules from the settings.
+func wire(s Settings, l listeners, log *event.Logger) (modules, error) {
+	container := dig.New()
+	for _, provider := range providers(s, l, log) {
+		if err := container.Provide(provider.constructor, provider.options...); err != nil {
+			return modules{}, err
+		}
+	}
+	var built modules
+	err := container.Invoke(func(m modules) { built = m })
+	return built, dig.RootCause(err)
+}
+
+type provider struct {
+	constructor any
+	options     []dig.ProvideOption
+}
+
+func provide(constructor any) provider { return provider{constructor: constructor} }
+
+// provideAs provides a *T also as the given interfaces.
+func provideAs[T any](interfaces ...any) provider {
+	same := func(value *T) *T { return value }
+	return provider{same, []dig.ProvideOption{dig.As(interfaces...)}}
+}
+
+func providers(s Settings, l listeners, log *event.Logger) []provider {
+	return []provider{
+		provide(func() *event.Logger { return log }),
+		provide(func() platform.Config { return platformConfig(s) }),
+		provide(func() peer.Config { return peer.Config{Connect: s.Peers.Connect, Progress: s.Peers.Progress} }),
+		provide(func() fleet.Config { return fleetConfig(s, l) }),
+		provide(func() routing.Config { return routingConfig(s) }),
+		provide(func() backend.Timeouts { return backendTimeouts(s) }),
+		provide(func() claims.Config { return claimsConfig(s) }),
+		provide(func() rollout.Config { return rolloutConfig() }),
+		provide(func() weights.Config { return weightsConfig(s) }),
+		provide(func() alarm.Config { return alarm.Config{ClearAfter: alarmClearAfter} }),
+
+		provide(platform.NewClient),
+		provideAs[platform.Client](new(platform.ObjectStore), new(platform.InstanceList), new(platform.WeightStore)),
+		provide(peer.NewPool),
+		provideAs[peer.Pool](new(peer.Conns)),
+		provide(peer.NewServer),
+		provide(fleet.NewManager),
+		provideAs[fleet.Manager](new(fleet.View), new(fleet.Documents), new(fleet.Admin)),
+		provide(backend.NewClient),
+		provideAs[backend.Client](new(backend.Dialer)),
+		provide(routing.NewStore),
+		provideAs[routing.Store](new(routing.Picker), new(weights.ReplicaGate)),
+		provide(func(log *event.Logger) *admission.Controller { return admission.NewController(log) }),
+		provideAs[admission.Controller](new(admission.Admitter)),
+		provide(claims.NewManager),
+		provideAs[claims.Manager](new(claims.Claimer)),
+		provide(alarm.NewManager),
+		provideAs[alarm.Manager](new(alarm.Recorder)),
+		provide(newDispatch),
+		provideAs[dispatch.Manager](new(dispatch.Generator)),
+		provide(newWeights),
+		provideAs[weights.Manager](new(weights.Versions)),
+		provide(newRollout),
+	}
+}
+
+type dispatchParts struct {
+	dig.In
+
+	View     fleet.View
+	Docs     fleet.Documents
+	Picker   routing.Picker
+	Admitter admission.Admitter
+	Claimer  claims.Claimer
+	Backends backend.Dialer
+	Recorder alarm.Recorder
+	Log      *event.Logger
+}
+
+func newDispatch(p dispatchParts) *dispatch.Manager {
+	return dispatch.NewManager(dispatch.Parts{
+		View: p.View, Docs: p.Docs, Picker: p.Picker, Admitter: p.Admitter,
+		Claimer: p.Claimer, Backends: p.Backends, Recorder: p.Recorder, Log: p.Log,
+	})
+}
+
+type weightParts struct {
+	dig.In
+
+	View     fleet.View
+	Docs     fleet.Documents
+	Store    platform.ObjectStore
+	Weights  platform.WeightStore
+	Backends backend.Dialer
+	Gate     weights.ReplicaGate
+	Conns    peer.Conns
+	Log      *event.Logger
+}
+
+func newWeights(config weights.Config, p weightParts) *weights.Manager {
+	return weights.NewManager(config, weights.Parts{
+		View: p.View, Docs: p.Docs, Store: p.Store, Weights: p.Weights,
+		Backends: p.Backends, Gate: p.Gate, Conns: p.Conns, Log: p.Log,
+	})
+}
+
+type rolloutParts struct {
+	dig.In
+
+	View      fleet.View
+	Docs      fleet.Documents
+	Generator dispatch.Generator
+	Versions  weights.Versions
+	Store     platform.ObjectStore
+	Conns     peer.Conns
+	Recorder  alarm.Recorder
+	Log       *event.Logger
+}
+
+func newRollout(config rollout.Config, p rolloutParts) *rollout.Manager {
+	return rollout.NewManager(config, rollout.Parts{
+		View: p.View, Docs: p.Docs, Generator: p.Generator, Versions: p.Versions,
+		Store: p.Store, Conns: p.Conns, Recorder: p.Recorder, Log: p.Log,
+	})
+}
+
+// newLogger returns a logger of its own, as the settings say.
+func newLogger(s Settings, output io.Writer) *event.Logger {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	if level, err := logrus.ParseLevel(string(s.Log.Level)); err == nil {
+		logger.SetLevel(level)
+	}
+	if s.Log.Format == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	}
+	return event.NewLogger(logger, event.F("daemon", s.Daemon.ID))
+}
--- a/document/inifile/inifile.go
+++ b/document/inifile/inifile.go
@@ -160,3 +160,17 @@
 	}
 	return strings.ToValidUTF8(line[:longest], "") + "…"
 }
+
+// LineOf returns the line of a key, or 1 when the file does not have it.
+func (f *File) LineOf(section, key string) int {
+	found := find(f, section)
+	if found == nil {
+		return 1
+	}
+	for _, entry := range found.Entries {
+		if entry.Key == key {
+			return entry.Line
+		}
+	}
+	return found.Line
+}
--- a/document/inifile/keys.go
+++ b/document/inifile/keys.go
@@ -147,3 +147,13 @@
 	}
 	return strings.Join(texts, ", ")
 }
+
+// Text returns a key that holds any text on one line and is empty by default.
+func Text[T any](name, unit, text string, field func(*T) *string) KeySchema[T] {
+	set := func(target *T, value string) error {
+		*field(target) = value
+		return nil
+	}
+	get := func(target *T) string { return *field(target) }
+	return Key(name, unit, "", "any or empty", text, set, get)
+}
