--- /dev/null
+++ b/dispatch/generate.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/hornbeamtide/hornbeamtide/admission"
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/document"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/routing"
+)
+
+// Generate implements Generator.
+func (m *Manager) Generate(ctx context.Context, r SampleRequest) (Completion, error) {
+	if err := m.checkIsolation(); err != nil {
+		return Completion{}, err
+	}
+	d, err := m.document(r.Service)
+	if err != nil {
+		return Completion{}, err
+	}
+	release, err := m.parts.Admitter.Admit(ctx, admission.Ticket{Document: d, Team: teamOf(r, d), Priority: backend.PrioritySample})
+	if err != nil {
+		return Completion{}, err
+	}
+	defer release()
+	lease, err := m.parts.Picker.Pick(ctx, routing.Request{
+		Service:     d.Service,
+		Pool:        d.Pool,
+		Key:         r.Key,
+		Sample:      true,
+		Exclude:     r.Exclude,
+		MaxInFlight: d.Servers.MaxInFlight,
+	})
+	if err != nil {
+		return Completion{}, err
+	}
+	started := m.now()
+	completion, err := m.sample(ctx, r, lease)
+	lease.Done(err, m.now().Sub(started))
+	m.countSample(completion, err)
+	return completion, err
+}
+
+func teamOf(r SampleRequest, d *document.Document) string {
+	if r.Team != "" {
+		return r.Team
+	}
+	return d.Team
+}
+
+func (m *Manager) countSample(c Completion, err error) {
+	m.count(func(counters *Counters) {
+		if err != nil {
+			counters.Voided++
+			counters.Discarded += int64(c.Tokens)
+			return
+		}
+		counters.Samples++
+		counters.Tokens += int64(c.Tokens)
+	})
+}
+
+// sample generates one completion on the leased replica. With an error the
+// completion holds only the tokens that were generated for nothing.
+func (m *Manager) sample(ctx context.Context, r SampleRequest, lease routing.Lease) (Completion, error) {
+	started := m.now()
+	stream, err := m.parts.Backends.Engine(lease.Replica.Address).Generate(ctx, backend.GenerateRequest{
+		RequestID: r.RequestID,
+		Prompt:    r.Prompt,
+		MaxTokens: r.MaxTokens,
+		Seed:      r.Seed,
+		Priority:  backend.PrioritySample,
+	})
+	if err != nil {
+		return Completion{}, err
+	}
+	reader := newReader(stream, r.RequestID)
+	defer reader.close()
+	text, err := collect(ctx, reader, r.OnVersion)
+	if err != nil {
+		return Completion{Tokens: reader.tokens}, err
+	}
+	return Completion{
+		Text:     text,
+		Tokens:   reader.tokens,
+		Segments: reader.segments,
+		Replica:  lease.Replica.ID,
+		Started:  started,
+		Ended:    m.now(),
+	}, nil
+}
+
+// collect reads the whole completion. A chunk without a weight version voids it.
+func collect(ctx context.Context, reader *reader, onVersion func(int64) error) (string, error) {
+	var text strings.Builder
+	for {
+		segments := len(reader.segments)
+		chunk, err := reader.next(ctx)
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return "", err
+		}
+		if chunk.Tokens > 0 && chunk.Version <= 0 {
+			return "", broken(fault.Untagged, "a chunk names no weight version")
+		}
+		if len(reader.segments) > segments && onVersion != nil {
+			if err := onVersion(chunk.Version); err != nil {
+				return "", err
+			}
+		}
+		text.WriteString(chunk.Text)
+	}
+}
