--- a/backend/client.go
+++ b/backend/client.go
@@ -1,14 +1,73 @@
 package backend
 
-import "github.com/hornbeamtide/hornbeamtide/event"
+import (
+	"net/http"
+	"sync"
 
-// Client implements Dialer over HTTP.
+	"github.com/hornbeamtide/hornbeamtide/event"
+)
+
+// maxIdleConnections bounds the idle connections to one server.
+const maxIdleConnections = 256
+
+// Client implements Dialer over HTTP/1.1. Each server has connections of its own, so
+// that a stall on one server closes no connection to another.
 type Client struct {
 	timeouts Timeouts
 	log      *event.Logger
+
+	mu      sync.Mutex
+	servers map[string]*server
 }
 
 // NewClient returns a Client whose connections are opened on demand.
 func NewClient(timeouts Timeouts, log *event.Logger) *Client {
-	return &Client{timeouts: timeouts, log: log}
+	return &Client{timeouts: timeouts, log: log, servers: map[string]*server{}}
+}
+
+// Engine implements Dialer.
+func (c *Client) Engine(address string) Engine { return engine{c.server(address)} }
+
+// Plain implements Dialer.
+func (c *Client) Plain(address string) Plain { return plain{c.server(address)} }
+
+// Close closes the idle connections to all servers.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		s.transport.CloseIdleConnections()
+	}
+}
+
+func (c *Client) server(address string) *server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.servers[address]
+	if !ok {
+		s = newServer(address, c.timeouts, c.log)
+		c.servers[address] = s
+	}
+	return s
+}
+
+// server holds the connections to one backend server.
+type server struct {
+	address   string
+	timeouts  Timeouts
+	log       *event.Logger
+	transport *http.Transport
+}
+
+func newServer(address string, timeouts Timeouts, log *event.Logger) *server {
+	return &server{
+		address:  address,
+		timeouts: timeouts,
+		log:      log,
+		transport: &http.Transport{
+			DialContext:         dialTracked(timeouts.Connect),
+			MaxIdleConnsPerHost: maxIdleConnections,
+			DisableCompression:  true,
+		},
+	}
 }
