--- /dev/null
+++ b/standin/fakeengine/text.go
@@ -0,0 +1,50 @@
+package fakeengine
+
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"github.com/hornbeamtide/hornbeamtide/backend"
+)
+
+func promptHash(prompt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(prompt))
+	return h.Sum64()
+}
+
+// words returns n words of the completion from the given index on. They follow from
+// prompt and weight version, so that an answer shows which version truly produced it.
+func words(prompt string, version int64, first, n int) string {
+	base := promptHash(prompt) + uint64(version)*0x9e3779b97f4a7c15
+	var text strings.Builder
+	for i := first; i < first+n; i++ {
+		x := (base ^ uint64(i)*0x94d049bb133111eb) * 0xbf58476d1ce4e5b9
+		text.WriteString(strconv.FormatUint(x>>44, 36))
+		text.WriteByte(' ')
+	}
+	return text.String()
+}
+
+// Text returns the text that engines generate for a prompt on the given versions.
+func Text(prompt string, segments []backend.Segment) string {
+	var text strings.Builder
+	for _, s := range segments {
+		text.WriteString(words(prompt, s.Version, s.First, s.Tokens))
+	}
+	return text.String()
+}
+
+// completionLength draws the length of a completion from a log-normal distribution,
+// seeded by the request.
+func completionLength(r backend.GenerateRequest, config Config) int {
+	random := rand.New(rand.NewPCG(promptHash(r.Prompt), uint64(r.Seed)))
+	length := int(float64(config.MedianTokens) * math.Exp(config.LengthSpread*random.NormFloat64()))
+	if r.MaxTokens > 0 {
+		length = min(length, r.MaxTokens)
+	}
+	return max(length, 1)
+}
--- /dev/null
+++ b/standin/trainer/trainer.go
@@ -0,0 +1,255 @@
+// Package trainer is a stand-in for a trainer: it opens steps, pulls their samples
+// through any daemon and checks what it was given.
+package trainer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/rollout"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+)
+
+const (
+	callTimeout   = 5 * time.Second // of one call, above the wait of a pull
+	pullWait      = 2 * time.Second
+	retryInterval = 100 * time.Millisecond
+)
+
+// Config configures a Trainer.
+type Config struct {
+	Name    string
+	Service string
+	Daemons []string     // HTTP addresses, used in turn
+	Bound   int          // staleness bound that delivered samples are checked against
+	Version func() int64 // the trainer's weight version
+	Max     int          // samples a pull, 0 for no limit
+	Client  *http.Client // nil for one of its own
+}
+
+// Trainer is one trainer process.
+type Trainer struct {
+	config Config
+	client *http.Client
+	next   int // daemon of the next call
+	epoch  int64
+}
+
+// Result is what the trainer counts of one step.
+type Result struct {
+	Expected   int           `json:"expected"`
+	Delivered  int           `json:"delivered"` // different samples
+	Duplicated int           `json:"duplicated"`
+	Missing    int           `json:"missing"`
+	OverBound  int           `json:"over_bound"`
+	Untagged   int           `json:"untagged"` // segments do not cover the sample or name no version
+	Wrong      int           `json:"wrong"`    // text does not fit prompt and versions
+	Retries    int           `json:"retries"`  // calls that failed
+	Tokens     int           `json:"tokens"`
+	Took       time.Duration `json:"took_ns"`
+	Staleness  []int         `json:"staleness"`  // versions behind, one a sample
+	Replicas   []string      `json:"replicas"`   // one a sample
+	Versions   int           `json:"versions"`   // different versions in the samples
+	MultiParts int           `json:"multi_part"` // samples of more than one version
+}
+
+// Broken reports whether a promise was broken.
+func (r Result) Broken() bool {
+	return r.Duplicated+r.Missing+r.OverBound+r.Untagged+r.Wrong > 0 || r.Delivered != r.Expected
+}
+
+// New returns a trainer without a session.
+func New(config Config) *Trainer {
+	client := config.Client
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	}
+	return &Trainer{config: config, client: client}
+}
+
+// Open opens a session, which ends older ones of the same name.
+func (t *Trainer) Open(ctx context.Context) error {
+	var session rollout.Session
+	err := t.retry(ctx, "/sessions", rollout.OpenSession{Service: t.config.Service}, &session, func() {})
+	t.epoch = session.Epoch
+	return err
+}
+
+// Step opens a step and pulls all its samples. progress is called after each pull.
+func (t *Trainer) Step(ctx context.Context, number int64, groups []rollout.Group, progress func(delivered int)) (Result, error) {
+	check := newChecker(groups, t.config.Bound)
+	retried := func() { check.result.Retries++ }
+	started := time.Now()
+	var step rollout.Step
+	open := rollout.OpenStep{Service: t.config.Service, Epoch: t.epoch, Step: number, Groups: groups}
+	if err := t.retry(ctx, "/steps", open, &step, retried); err != nil {
+		return check.finish(), err
+	}
+	check.result.Expected = step.Samples
+	for token, remaining := step.Token, step.Samples; remaining > 0; {
+		version := t.config.Version()
+		pull := rollout.Pull{Token: token, Version: version, Max: t.config.Max, WaitMS: pullWait.Milliseconds()}
+		var batch rollout.Batch
+		if err := t.retry(ctx, "/pull", pull, &batch, retried); err != nil {
+			return check.finish(), err
+		}
+		for _, sample := range batch.Samples {
+			check.take(sample, version)
+		}
+		token, remaining = batch.Token, batch.Remaining
+		progress(check.result.Delivered)
+	}
+	check.result.Took = time.Since(started)
+	return check.finish(), nil
+}
+
+// retry calls the daemons in turn until one answers or ctx ends. An answer that says
+// the request can't succeed ends it.
+func (t *Trainer) retry(ctx context.Context, path string, body, answer any, retried func()) error {
+	for {
+		err := t.call(ctx, path, body, answer)
+		if err == nil || ctx.Err() != nil || final(err) {
+			return err
+		}
+		retried()
+		t.next++
+		select {
+		case <-time.After(retryInterval):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func final(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.Invalid, fault.Fenced, fault.Unsupported, fault.Unrecognized:
+		return true
+	}
+	return false
+}
+
+func (t *Trainer) call(ctx context.Context, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	address := t.config.Daemons[t.next%len(t.config.Daemons)]
+	url := fmt.Sprintf("http://%s/v1/trainers/%s%s", address, t.config.Name, path)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := t.client.Do(r)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "daemon "+address, "")
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fault.Wrap(err, fault.Truncated, "daemon "+address, "")
+	}
+	if response.StatusCode/100 != 2 {
+		return refusal(response.StatusCode, content)
+	}
+	return json.Unmarshal(content, answer)
+}
+
+func refusal(status int, content []byte) error {
+	var body fault.Body
+	if err := json.Unmarshal(content, &body); err != nil || body.Kind == "" {
+		return fault.New(fault.Unavailable, fmt.Sprintf("status %d: %.200s", status, content), "")
+	}
+	return fault.New(body.Kind, body.Message, "")
+}
+
+// checker counts the samples of a step.
+type checker struct {
+	prompts  map[string]string
+	bound    int
+	seen     map[int]bool
+	versions map[int64]bool
+	result   Result
+}
+
+func newChecker(groups []rollout.Group, bound int) *checker {
+	c := &checker{prompts: map[string]string{}, bound: bound, seen: map[int]bool{}, versions: map[int64]bool{}}
+	for _, g := range groups {
+		c.prompts[g.ID] = g.Prompt
+	}
+	return c
+}
+
+func (c *checker) take(s rollout.Sample, version int64) {
+	r := &c.result
+	if c.seen[s.ID] {
+		r.Duplicated++
+		return
+	}
+	c.seen[s.ID] = true
+	r.Delivered++
+	r.Tokens += s.Tokens
+	r.Replicas = append(r.Replicas, s.Replica)
+	if !tagged(s) {
+		r.Untagged++
+		return
+	}
+	if s.Text != fakeengine.Text(c.prompts[s.Group], s.Segments) {
+		r.Wrong++
+	}
+	oldest := s.Segments[0].Version
+	for _, segment := range s.Segments {
+		oldest = min(oldest, segment.Version)
+		c.versions[segment.Version] = true
+	}
+	if len(s.Segments) > 1 {
+		r.MultiParts++
+	}
+	behind := max(int(version-oldest), 0)
+	r.Staleness = append(r.Staleness, behind)
+	if behind > c.bound {
+		r.OverBound++
+	}
+}
+
+// tagged reports whether the segments cover all tokens and name their versions.
+func tagged(s rollout.Sample) bool {
+	next := 0
+	for _, segment := range s.Segments {
+		if segment.Version < 1 || segment.First != next || segment.Tokens < 1 {
+			return false
+		}
+		next += segment.Tokens
+	}
+	return next == s.Tokens && next > 0
+}
+
+func (c *checker) finish() Result {
+	c.result.Missing = c.result.Expected - c.result.Delivered
+	c.result.Versions = len(c.versions)
+	return c.result
+}
+
+// Segments of Chunk streams, for callers that check streamed answers.
+func Segments(chunks []backend.Chunk) []backend.Segment {
+	var segments []backend.Segment
+	for _, c := range chunks {
+		last := len(segments) - 1
+		if last >= 0 && segments[last].Version == c.Version {
+			segments[last].Tokens += c.Tokens
+			continue
+		}
+		segments = append(segments, backend.Segment{Version: c.Version, First: c.First, Tokens: c.Tokens})
+	}
+	return segments
+}
