--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,214 @@
+// Package caller is a stand-in for callers: it sends requests through daemons and
+// checks that each answer is whole and its own.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplain"
+	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
+)
+
+// OK is the outcome of a request with a whole answer; the others are fault outcomes.
+const OK fault.Outcome = "ok"
+
+// Request is one request to a daemon.
+type Request struct {
+	Daemon    string // HTTP host:port
+	Service   string
+	Method    string // plain requests only
+	Path      string // plain requests only, starts with "/"
+	Body      []byte // plain requests only
+	Prompt    string // generate requests only
+	MaxTokens int    // generate requests only
+	Seed      int64  // generate requests only
+	ID        string
+	Key       string // of a non-idempotent request
+	Prefix    string // prefix key
+	Team      string
+	Priority  string
+	Deadline  time.Duration
+}
+
+// Result is how a request ended.
+type Result struct {
+	Outcome   fault.Outcome
+	Kind      fault.Kind    // of an error, empty when the connection to the daemon broke
+	Detail    string        // of an error
+	Wrong     string        // why an answer that claims to be whole is not the request's own
+	FirstByte time.Duration // until the first chunk
+	Took      time.Duration
+	Attempts  int
+	Replica   string
+	Tokens    int
+}
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client with connections of its own.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+// Plain sends a request to a plain service and checks the echo.
+func (c *Client) Plain(ctx context.Context, r Request) Result {
+	started := time.Now()
+	response, result := c.send(ctx, r, r.Method, r.Path, r.Body)
+	if response == nil {
+		result.Took = time.Since(started)
+		return result
+	}
+	defer response.Body.Close()
+	var answer fakeplain.Answer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		result.Outcome, result.Detail = fault.Unknown, err.Error()
+	} else if answer.Path != r.Path || answer.Sum != fakeplain.Sum(r.Body) {
+		result.Wrong = fmt.Sprintf("answer is for %s %s", answer.Method, answer.Path)
+	}
+	result.Took = time.Since(started)
+	return result
+}
+
+// Generate sends a generate request and checks the stream.
+func (c *Client) Generate(ctx context.Context, r Request) Result {
+	started := time.Now()
+	body, _ := json.Marshal(generateBody{Prompt: r.Prompt, MaxTokens: r.MaxTokens, Seed: r.Seed})
+	response, result := c.send(ctx, r, http.MethodPost, "/generate", body)
+	if response == nil {
+		result.Took = time.Since(started)
+		return result
+	}
+	defer response.Body.Close()
+	var chunks []backend.Chunk
+	text := strings.Builder{}
+	err := readEvents(response.Body, func(chunk backend.Chunk) {
+		if len(chunks) == 0 {
+			result.FirstByte = time.Since(started)
+		}
+		chunks = append(chunks, chunk)
+		text.WriteString(chunk.Text)
+		result.Tokens += chunk.Tokens
+	})
+	result.Took = time.Since(started)
+	if err != nil {
+		result.Outcome, result.Kind, result.Detail = fault.OutcomeOf(err), fault.KindOf(err), err.Error()
+		return result
+	}
+	if text.String() != fakeengine.Text(r.Prompt, trainer.Segments(chunks)) {
+		result.Wrong = "text does not fit prompt and versions"
+	}
+	return result
+}
+
+type generateBody struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Seed      int64  `json:"seed"`
+}
+
+// send returns the response when its status is 2xx, else nil and the result.
+func (c *Client) send(ctx context.Context, r Request, method, path string, body []byte) (*http.Response, Result) {
+	result := Result{Outcome: fault.Unknown}
+	url := "http://" + r.Daemon + "/v1/services/" + r.Service + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		result.Detail = err.Error()
+		return nil, result
+	}
+	request.GetBody = nil
+	setHeaders(request.Header, r)
+	response, err := c.http.Do(request)
+	if err != nil {
+		result.Detail = err.Error()
+		return nil, result
+	}
+	result.Attempts, _ = strconv.Atoi(response.Header.Get("X-Attempts"))
+	result.Replica = response.Header.Get("X-Replica")
+	if response.StatusCode/100 == 2 {
+		result.Outcome = OK
+		return response, result
+	}
+	defer response.Body.Close()
+	content, _ := io.ReadAll(io.LimitReader(response.Body, 1<<16))
+	var e fault.Body
+	if json.Unmarshal(content, &e) == nil && e.Outcome != "" {
+		result.Outcome, result.Kind, result.Detail = e.Outcome, e.Kind, e.Message
+		return nil, result
+	}
+	result.Outcome, result.Detail = fault.Failed, fmt.Sprintf("status %d: %.100s", response.StatusCode, content)
+	return nil, result
+}
+
+func setHeaders(h http.Header, r Request) {
+	set := func(name, value string) {
+		if value != "" {
+			h.Set(name, value)
+		}
+	}
+	set("X-Request-Id", r.ID)
+	set("X-Team", r.Team)
+	set("X-Priority", r.Priority)
+	set("X-Prefix-Key", r.Prefix)
+	set(fakeplain.HeaderRequestKey, r.Key)
+	if r.Key != "" {
+		h.Set("X-Idempotency", "non-idempotent")
+	}
+	if r.Deadline > 0 {
+		h.Set("X-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+}
+
+// readEvents passes the chunks of a stream to take. A nil error means that the end
+// marker came.
+func readEvents(body io.Reader, take func(backend.Chunk)) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), 1<<20)
+	isError := false
+	for lines.Scan() {
+		line := lines.Text()
+		if strings.HasPrefix(line, "event:") {
+			isError = strings.TrimSpace(line[len("event:"):]) == "error"
+			continue
+		}
+		data, found := strings.CutPrefix(line, "data:")
+		if !found {
+			continue
+		}
+		if isError {
+			return streamError(data)
+		}
+		var chunk backend.Chunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return err
+		}
+		take(chunk)
+		if chunk.End {
+			_, _ = io.Copy(io.Discard, body)
+			return nil
+		}
+	}
+	return fault.New(fault.Truncated, "stream without its end marker", "", fault.WithOutcome(fault.Unknown))
+}
+
+func streamError(data string) error {
+	var e fault.Body
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		return err
+	}
+	return fault.New(e.Kind, e.Message, "", fault.WithOutcome(e.Outcome))
+}
--- /dev/null
+++ b/standin/cmd/standin/demo.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/demo"
+)
+
+// programOptions name the programs that are started.
+type programOptions struct {
+	Daemon string `long:"daemon" description:"hornbeamtide program, default beside this one"`
+}
+
+// programs returns the paths of the daemon's program and of this one.
+func (o programOptions) programs() (daemon, self string, err error) {
+	self, err = os.Executable()
+	if err != nil {
+		return "", "", err
+	}
+	daemon = o.Daemon
+	if daemon == "" {
+		daemon = filepath.Join(filepath.Dir(self), "hornbeamtide")
+	}
+	return daemon, self, nil
+}
+
+type demoCommand struct {
+	programOptions
+	Examples string `long:"examples" description:"folder with documents and prompts" default:"examples"`
+	Groups   int    `long:"groups" description:"groups of the step" default:"16"`
+	Samples  int    `long:"samples" description:"samples a group" default:"8"`
+	NoFaults bool   `long:"no-faults" description:"kill nothing and keep the weights"`
+	Logs     int    `long:"logs" description:"lines of each log printed on failure" default:"30"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	daemon, self, err := c.programs()
+	if err != nil {
+		return err
+	}
+	return demo.Run(context.Background(), demo.Options{
+		Daemon: daemon, Standin: self, Examples: c.Examples, Groups: c.Groups, Samples: c.Samples,
+		Faults: !c.NoFaults, Logs: c.Logs, Out: os.Stdout,
+	})
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -1,4 +1,33 @@
 // Command standin runs the fakes, the demo and the measurements. It is not shipped.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	parser := flags.NewParser(nil, flags.Default)
+	addCommand(parser, "weights", "Run the weight store", &weightsCommand{})
+	addCommand(parser, "engine", "Run one model engine", &engineCommand{})
+	addCommand(parser, "plain", "Run one plain service", &plainCommand{})
+	addCommand(parser, "demo", "Run the whole path on loopback", &demoCommand{})
+	_, err := parser.Parse()
+	var failure *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &failure) && failure.Type == flags.ErrHelp:
+	default:
+		os.Exit(1)
+	}
+}
+
+func addCommand(parser *flags.Parser, name, help string, command any) {
+	if _, err := parser.AddCommand(name, help, help+".", command); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,221 @@
+// Package demo runs the whole path with separate processes on loopback: documents, a
+// mix of requests and a training step, while a daemon and an engine are killed and the
+// weights change. The trainer and the stand-in servers do the counting.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/rollout"
+	"github.com/hornbeamtide/hornbeamtide/standin/caller"
+	"github.com/hornbeamtide/hornbeamtide/standin/cluster"
+	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
+)
+
+// Options configure the demo.
+type Options struct {
+	Daemon   string // path of the hornbeamtide program
+	Standin  string // path of the standin program
+	Examples string // folder with documents and prompts
+	Groups   int
+	Samples  int  // a group
+	Faults   bool // kill a daemon and an engine, change the weights
+	Logs     int  // lines of each log printed on failure
+	Out      io.Writer
+}
+
+const (
+	modelService = "draftpool"
+	plainService = "ledgerdesk"
+	region       = "pk-south"
+	bound        = 2 // staleness bound of the model service's document
+	demoTimeout  = 55 * time.Second
+	documentWait = 10 * time.Second
+)
+
+var domains = []string{"khi-a", "khi-b", "hyd-a"}
+
+// demo is one run.
+type demo struct {
+	options Options
+	cluster *cluster.Cluster
+	daemons []*cluster.Process
+	engines []*cluster.Process
+	plain   *cluster.Process
+	version atomic.Int64 // the trainer's weight version
+}
+
+// Run runs the demo and writes its last line. An error means that a process failed or
+// a promise was broken.
+func Run(ctx context.Context, options Options) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	processes, err := cluster.New(options.Daemon, options.Standin)
+	if err != nil {
+		return err
+	}
+	d := &demo{options: options, cluster: processes}
+	err = d.run(ctx)
+	if err != nil {
+		processes.PrintLogs(options.Out, options.Logs)
+	}
+	processes.Close(false)
+	return err
+}
+
+func (d *demo) run(ctx context.Context) error {
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	if err := d.applyDocuments(ctx); err != nil {
+		return err
+	}
+	if err := d.streamOne(ctx); err != nil {
+		return err
+	}
+	groups, err := d.groups()
+	if err != nil {
+		return err
+	}
+	mix := startMix(ctx, d.addresses())
+	samples, err := d.step(ctx, groups)
+	requests := mix.stop()
+	if err != nil {
+		return fmt.Errorf("step: %w (samples delivered %d of %d)", err, samples.Delivered, samples.Expected)
+	}
+	return d.report(ctx, samples, requests)
+}
+
+// start starts all processes.
+func (d *demo) start(ctx context.Context) error {
+	if err := d.cluster.StartPlatform(ctx); err != nil {
+		return err
+	}
+	d.version.Store(1)
+	if err := d.cluster.Publish(ctx, modelService, 1); err != nil {
+		return err
+	}
+	for i, domain := range domains {
+		place := cluster.Place{Region: region, FailureDomain: domain}
+		id := fmt.Sprintf("engine-%d", i+1)
+		engine, err := d.cluster.StartEngine(ctx, id, modelService, place, "--version", "1", "--checks-fencing")
+		if err != nil {
+			return err
+		}
+		d.engines = append(d.engines, engine)
+	}
+	var err error
+	if d.plain, err = d.cluster.StartPlain(ctx, "ledger-1", plainService, cluster.Place{Region: region, FailureDomain: domains[0]}); err != nil {
+		return err
+	}
+	for i, domain := range domains {
+		place := cluster.Place{Region: region, FailureDomain: domain}
+		daemon, err := d.cluster.StartDaemon(ctx, cluster.Daemon{ID: fmt.Sprintf("daemon-%d", i+1), Place: place})
+		if err != nil {
+			return err
+		}
+		d.daemons = append(d.daemons, daemon)
+	}
+	d.say("started platform, weight store, %d engines, 1 plain service and %d daemons", len(d.engines), len(d.daemons))
+	return nil
+}
+
+// applyDocuments applies both documents through one daemon and waits until all daemons
+// answer with them.
+func (d *demo) applyDocuments(ctx context.Context) error {
+	started := time.Now()
+	for _, service := range []string{modelService, plainService} {
+		file := filepath.Join(d.options.Examples, "documents", service+".ini")
+		if err := d.cluster.Apply(ctx, d.daemons[0], file); err != nil {
+			return err
+		}
+	}
+	for _, daemon := range d.daemons {
+		err := d.cluster.WaitFor(ctx, daemon.Name+" is ready", func() bool {
+			return d.cluster.Get(ctx, daemon.Address, "/ready", nil) == nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	d.say("documents applied and daemons ready after %s", time.Since(started).Round(time.Millisecond))
+	return nil
+}
+
+// streamOne sends one streamed request through each daemon until it is answered.
+func (d *demo) streamOne(ctx context.Context) error {
+	client := caller.NewClient()
+	for i, address := range d.addresses() {
+		var last caller.Result
+		err := d.cluster.WaitFor(ctx, "a streamed request is answered", func() bool {
+			last = client.Generate(ctx, caller.Request{
+				Daemon: address, Service: modelService, ID: fmt.Sprintf("first-%d", i),
+				Prompt: "Describe the sketch of today.", MaxTokens: 48, Seed: int64(i),
+			})
+			return last.Outcome == caller.OK
+		})
+		if err != nil {
+			return fmt.Errorf("%w: %s: %s", err, last.Outcome, last.Detail)
+		}
+		if last.Wrong != "" {
+			return fmt.Errorf("streamed answer: %s", last.Wrong)
+		}
+	}
+	d.say("one streamed request answered whole through each daemon")
+	return nil
+}
+
+func (d *demo) addresses() []string {
+	var addresses []string
+	for _, daemon := range d.daemons {
+		addresses = append(addresses, daemon.Address)
+	}
+	return addresses
+}
+
+// groups reads one prompt a group from the examples.
+func (d *demo) groups() ([]rollout.Group, error) {
+	files, err := filepath.Glob(filepath.Join(d.options.Examples, "prompts", "*.txt"))
+	if err != nil {
+		return nil, err
+	}
+	sort.Strings(files)
+	if len(files) < d.options.Groups {
+		return nil, fmt.Errorf("%d prompts in %s, want %d", len(files), d.options.Examples, d.options.Groups)
+	}
+	var groups []rollout.Group
+	for _, file := range files[:d.options.Groups] {
+		prompt, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		id := strings.TrimSuffix(filepath.Base(file), ".txt")
+		groups = append(groups, rollout.Group{ID: id, Prompt: strings.TrimSpace(string(prompt)), Samples: d.options.Samples})
+	}
+	return groups, nil
+}
+
+// step runs one training step through the daemons; faults come as samples arrive.
+func (d *demo) step(ctx context.Context, groups []rollout.Group) (trainer.Result, error) {
+	t := trainer.New(trainer.Config{
+		Name: "captions", Service: modelService, Daemons: d.addresses(), Bound: bound,
+		Version: d.version.Load, Max: len(groups),
+	})
+	if err := t.Open(ctx); err != nil {
+		return trainer.Result{}, err
+	}
+	faults := d.faults(ctx, len(groups)*d.options.Samples)
+	return t.Step(ctx, 1, groups, faults)
+}
+
+func (d *demo) say(format string, arguments ...any) {
+	fmt.Fprintf(d.options.Out, "demo: "+format+"\n", arguments...)
+}
--- /dev/null
+++ b/standin/demo/faults.go
@@ -0,0 +1,54 @@
+package demo
+
+import "context"
+
+// disturbance is one fault, disturbance, due when a share of the samples was delivered.
+type disturbance struct {
+	percent int
+	name    string
+	cause   func(ctx context.Context) error
+}
+
+// faults returns a function that causes each disturbance once it is due.
+func (d *demo) faults(ctx context.Context, samples int) func(delivered int) {
+	if !d.options.Faults {
+		return func(int) {}
+	}
+	due := []disturbance{
+		{10, "daemon-1 killed", d.killDaemon},
+		{30, "weights version 2 published", d.publish},
+		{45, "engine-2 killed", d.killEngine},
+	}
+	return func(delivered int) {
+		for len(due) > 0 && delivered*100 >= due[0].percent*samples {
+			now := due[0]
+			due = due[1:]
+			if err := now.cause(ctx); err != nil {
+				d.say("%s: %v", now.name, err)
+				continue
+			}
+			d.say("%s after %d samples", now.name, delivered)
+		}
+	}
+}
+
+// killDaemon kills the daemon that the trainer and some callers talk to.
+func (d *demo) killDaemon(context.Context) error {
+	d.daemons[0].Kill()
+	return nil
+}
+
+// killEngine kills an engine. The instance list shows it for a while.
+func (d *demo) killEngine(context.Context) error {
+	d.engines[1].Kill()
+	return nil
+}
+
+// publish publishes new weights; from now on the trainer pulls with their version.
+func (d *demo) publish(ctx context.Context) error {
+	if err := d.cluster.Publish(ctx, modelService, 2); err != nil {
+		return err
+	}
+	d.version.Store(2)
+	return nil
+}
