Rollout: errors travel as package peer carries them

The proto had fault messages of its own; peer encodes handler errors with kind, outcome and remedy, so they stood twice. Tests use the real peer pool and server.

--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -16,10 +16,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
-	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/backend"
@@ -27,6 +23,7 @@
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
@@ -91,23 +88,25 @@
 	if tune != nil {
 		tune(&config)
 	}
+	pool := peer.NewPool(peer.Config{Connect: time.Second, Progress: 2 * time.Second}, nil)
 	d.manager = NewManager(config, Parts{
-		View: d, Docs: c, Generator: c.gen, Versions: c.versions, Store: c.store, Conns: testConns{}, Recorder: c.recorder,
+		View: d, Docs: c, Generator: c.gen, Versions: c.versions, Store: c.store, Conns: pool, Recorder: c.recorder,
 	})
-	mux := drpcmux.New()
-	if err := d.manager.Register(mux); err != nil {
+	server := peer.NewServer(nil)
+	if err := d.manager.Register(server.Mux()); err != nil {
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = drpcserver.New(mux).Serve(ctx, gatedListener{listener, d.gate})
+		_ = server.Serve(ctx, gatedListener{listener, d.gate})
 	}()
 	go func() { _ = d.manager.Run(ctx) }()
 	d.stop = func() {
 		d.gate.open()
 		cancel()
+		pool.Close()
 		<-served
 	}
 	router := chi.NewRouter()
@@ -476,46 +475,6 @@
 	return nil, fault.New(fault.Unavailable, "no watches", "")
 }
 
-// testConns dials a fresh connection for each call.
-type testConns struct{}
-
-func (testConns) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	return &dialedConn{address: address}, nil
-}
-
-type dialedConn struct{ address string }
-
-func (c *dialedConn) dial(ctx context.Context) (*drpcconn.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "not connected", "")
-	}
-	return drpcconn.New(conn), nil
-}
-
-func (c *dialedConn) Close() error               { return nil }
-func (c *dialedConn) Closed() <-chan struct{}    { return nil }
-func (c *dialedConn) Unblocked() <-chan struct{} { return nil }
-
-func (c *dialedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	conn, err := c.dial(ctx)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.Invoke(ctx, rpc, enc, in, out)
-}
-
-func (c *dialedConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
-	conn, err := c.dial(ctx)
-	if err != nil {
-		return nil, err
-	}
-	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	return conn.NewStream(ctx, rpc, enc)
-}
-
 // gate holds up all traffic of a frozen daemon.
 type gate struct {
 	mu     sync.Mutex
--- a/rollout/front.go
+++ b/rollout/front.go
@@ -86,11 +86,8 @@
 	key := keyOfDefinition(definition)
 	token := NewToken(trainer, open.Service, open.Step, open.Epoch, key.layout, sampleCount(definition))
 	err = m.atOwner(ctx, key, func(ctx context.Context, owner rolloutServer) error {
-		reply, err := owner.Define(ctx, &rolloutpb.DefineRequest{Definition: definition})
-		if err != nil {
-			return err
-		}
-		return errorOf(reply.Fault)
+		_, err := owner.Define(ctx, &rolloutpb.DefineRequest{Definition: definition})
+		return err
 	})
 	if err != nil {
 		return Step{}, err
@@ -237,18 +234,15 @@
 	wait := min(max(p.deadline.Sub(p.m.now()), 0), collectSlice)
 	var reply *rolloutpb.CollectReply
 	err := p.m.atOwner(ctx, keyOf(p.token), func(ctx context.Context, owner rolloutServer) error {
-		r, err := owner.Collect(ctx, &rolloutpb.CollectRequest{
+		var err error
+		reply, err = owner.Collect(ctx, &rolloutpb.CollectRequest{
 			Token:   p.token.Bytes(),
 			Pull:    p.id,
 			Version: p.pull.Version,
 			Max:     int32(batch),
 			WaitMs:  wait.Milliseconds(),
 		})
-		if err != nil {
-			return err
-		}
-		reply = r
-		return errorOf(r.Fault)
+		return err
 	})
 	return reply, err
 }
@@ -260,11 +254,8 @@
 		request.Delivered = append(request.Delivered, int32(s.ID))
 	}
 	err := p.m.atOwner(ctx, keyOf(p.token), func(ctx context.Context, owner rolloutServer) error {
-		reply, err := owner.Confirm(ctx, request)
-		if err != nil {
-			return err
-		}
-		return errorOf(reply.Fault)
+		_, err := owner.Confirm(ctx, request)
+		return err
 	})
 	if err != nil {
 		return err
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -28,13 +28,13 @@
 
 // Define starts a step at its owner.
 func (s *service) Define(ctx context.Context, r *rolloutpb.DefineRequest) (*rolloutpb.Reply, error) {
-	return replyOf(s.m.defineStep(ctx, r.Definition)), nil
+	return &rolloutpb.Reply{}, s.m.defineStep(ctx, r.Definition)
 }
 
 // Keep stores a copy of a definition.
 func (s *service) Keep(_ context.Context, r *rolloutpb.DefineRequest) (*rolloutpb.Reply, error) {
 	s.m.keep(r.Definition)
-	return replyOf(nil), nil
+	return &rolloutpb.Reply{}, nil
 }
 
 // Lookup returns a copy of a definition.
@@ -45,22 +45,18 @@
 
 // Collect waits for samples that the token does not hold.
 func (s *service) Collect(ctx context.Context, r *rolloutpb.CollectRequest) (*rolloutpb.CollectReply, error) {
-	reply, err := s.m.collect(ctx, r)
-	if err != nil {
-		return &rolloutpb.CollectReply{Fault: faultOf(err)}, nil
-	}
-	return reply, nil
+	return s.m.collect(ctx, r)
 }
 
 // Confirm says whether a pull may be answered.
 func (s *service) Confirm(ctx context.Context, r *rolloutpb.ConfirmRequest) (*rolloutpb.Reply, error) {
-	return replyOf(s.m.confirm(ctx, r)), nil
+	return &rolloutpb.Reply{}, s.m.confirm(ctx, r)
 }
 
 // Discard takes back samples that can't be delivered.
 func (s *service) Discard(_ context.Context, r *rolloutpb.DiscardRequest) (*rolloutpb.Reply, error) {
 	s.m.discard(r)
-	return replyOf(nil), nil
+	return &rolloutpb.Reply{}, nil
 }
 
 // Run runs one group.
@@ -81,13 +77,13 @@
 // Release frees payloads.
 func (s *service) Release(_ context.Context, r *rolloutpb.FetchRequest) (*rolloutpb.Reply, error) {
 	s.m.runner.release(r)
-	return replyOf(nil), nil
+	return &rolloutpb.Reply{}, nil
 }
 
 // Fence takes in a trainer's newest epoch.
 func (s *service) Fence(_ context.Context, r *rolloutpb.FenceRequest) (*rolloutpb.Reply, error) {
 	s.m.sessions.raise(r.Trainer, r.Epoch)
-	return replyOf(nil), nil
+	return &rolloutpb.Reply{}, nil
 }
 
 // milliseconds returns a duration from a count in a message.
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -1,43 +1,11 @@
 package rollout
 
 import (
-	"time"
-
 	"github.com/hornbeamtide/hornbeamtide/backend"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
 
-// faultOf puts err into a drpc message; nil for no error.
-func faultOf(err error) *rolloutpb.Fault {
-	if err == nil {
-		return nil
-	}
-	return &rolloutpb.Fault{
-		Kind:         string(fault.KindOf(err)),
-		Message:      fault.BodyOf(err).Message,
-		Remedy:       fault.RemedyOf(err),
-		Outcome:      string(fault.OutcomeOf(err)),
-		RetryAfterMs: fault.RetryAfterOf(err).Milliseconds(),
-	}
-}
-
-// errorOf takes an error out of a drpc message.
-func errorOf(f *rolloutpb.Fault) error {
-	if f == nil {
-		return nil
-	}
-	message := f.Message
-	if suffix := "; " + f.Remedy; f.Remedy != "" && len(message) > len(suffix) && message[len(message)-len(suffix):] == suffix {
-		message = message[:len(message)-len(suffix)]
-	}
-	return fault.New(fault.Kind(f.Kind), message, f.Remedy,
-		fault.WithOutcome(fault.Outcome(f.Outcome)),
-		fault.WithRetryAfter(time.Duration(f.RetryAfterMs)*time.Millisecond))
-}
-
-func replyOf(err error) *rolloutpb.Reply { return &rolloutpb.Reply{Fault: faultOf(err)} }
-
 // sampleOf takes a sample out of a payload.
 func sampleOf(p *rolloutpb.Payload) Sample {
 	s := Sample{ID: int(p.Id), Group: p.Group, Text: p.Text, Tokens: int(p.Tokens), Replica: p.Replica}
--- a/weights/share.go
+++ b/weights/share.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/weights/weightspb"
 )
 
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return whole(client.Survey(ctx, &weightspb.SurveyRequest{Targets: s.targets}))(s)
+	return whole(client.Survey(peer.WithProgress(ctx, surveyTimeout), &weightspb.SurveyRequest{Targets: s.targets}))(s)
 }
 
 // whole refuses a reply that does not answer every target of the share.
@@ -124,7 +125,7 @@
 		return nil, err
 	}
 	fence, left := k.may()
-	return whole(client.Activate(ctx, &weightspb.ActivateRequest{
+	return whole(client.Activate(peer.WithProgress(ctx, waveTimeout), &weightspb.ActivateRequest{
 		Ticket:        ticket.Ticket,
 		Pool:          k.pool,
 		Version:       version,
