--- a/rollout/session.go
+++ b/rollout/session.go
@@ -9,11 +9,13 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
 
 const (
 	epochFresh     = time.Second            // a read epoch is not read again within this
+	sessionTimeout = 3 * time.Second        // one write of the session object, settled
 	epochTimeout   = 300 * time.Millisecond // one read of it on the way of a call
 	sessionRetries = 8                      // conditional updates that lose against others
 	peerTimeout    = time.Second            // one short call to another daemon
@@ -147,7 +149,7 @@
 			return record, nil
 		}
 		if fault.Is(last, fault.Ambiguous) {
-			return sessionRecord{}, last
+			return sessionRecord{}, sessionUnknown(last)
 		}
 		if !fault.Is(last, fault.Conflict) {
 			return sessionRecord{}, sessionRefused(last)
@@ -161,30 +163,28 @@
 		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
 }
 
+// sessionUnknown says that a session may have been opened.
+func sessionUnknown(err error) error {
+	return fault.Wrap(err, fault.Ambiguous, "the session may have been opened", "open the session again; an older one may be refused from now on",
+		fault.WithOutcome(fault.Unknown))
+}
+
 // write writes the record if the object's version is the given one (0: none yet). A
-// lost answer is settled by reading back and comparing the nonce.
+// lost answer is settled by reading back.
 func (s *sessions) write(ctx context.Context, trainer string, record *sessionRecord, version int64) error {
 	record.Nonce = newNonce()
 	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, sessionTimeout)
+	defer cancel()
 	if version == 0 {
-		_, err = s.m.parts.Store.Create(ctx, sessionKey(trainer), value)
+		_, err = platform.CreateSettled(ctx, s.m.parts.Store, sessionKey(trainer), value)
 	} else {
-		_, err = s.m.parts.Store.Update(ctx, sessionKey(trainer), value, version)
-	}
-	if !fault.Is(err, fault.Ambiguous) {
-		return err
-	}
-	found, _, readErr := s.read(ctx, trainer)
-	if readErr != nil {
-		return fault.Wrap(readErr, fault.Ambiguous, "the session may have been opened", "open the session again; an older one may be refused from now on", fault.WithOutcome(fault.Unknown))
-	}
-	if found.Nonce == record.Nonce {
-		return nil
+		_, err = platform.UpdateSettled(ctx, s.m.parts.Store, sessionKey(trainer), value, version)
 	}
-	return fault.New(fault.Conflict, "another session was opened at the same time", "retry")
+	return err
 }
 
 // broadcast tells all daemons of the region the new epoch. One that misses it reads
--- a/weights/keeper.go
+++ b/weights/keeper.go
@@ -14,12 +14,14 @@
 )
 
 const (
+	leaseTicks      = 6                // looks at the lease during its validity
 	candidates      = 3                // daemons that try to take a pool's lease
 	newsInterval    = 2 * time.Second  // a daemon without news for this long asks a candidate
 	releaseTimeout  = time.Second      // for giving up the lease at a stop
 	stageTimeout    = 10 * time.Minute // one replica's load from the weight store
 	activateTimeout = 30 * time.Second // one replica's switch
-	partialRetries  = 2                // polls that a missing replica may hold up a wave
+	laggardFactor   = 3                // a wave waits this many times as long as half of the replicas took to stage
+	reminders       = 5 * time.Second  // between two announcements of the same suspensions
 )
 
 // keeper is this daemon's part in one pool: candidate for its lease and, while it
@@ -31,11 +33,13 @@
 	stop          context.CancelFunc
 	checksFencing atomic.Bool
 
-	mu      sync.Mutex
-	target  int64           // version that the pool is being brought to
-	waves   int             // polls since target was seen whose stages were not complete
-	staging map[string]bool // by replica
-	partial map[string]bool // replicas reported as not whole
+	mu       sync.Mutex
+	target   int64           // version that the pool is being brought to
+	since    time.Time       // when it was first seen
+	half     time.Time       // when half of the replicas had it staged, zero before
+	staging  map[string]bool // by replica
+	partial  map[string]bool // replicas reported as not whole
+	reminded time.Time       // last announcement of them
 }
 
 func newKeeper(m *Manager, pool string) *keeper {
@@ -58,13 +62,18 @@
 	}()
 	k.workLoop(ctx)
 	renewing.Wait()
-	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	k.release(ctx)
+}
+
+// release frees the lease for another daemon, also after ctx ended.
+func (k *keeper) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	k.lease.release(releaseCtx)
+	k.lease.release(ctx)
 }
 
 func (k *keeper) renewLoop(ctx context.Context) {
-	ticker := time.NewTicker(max(k.m.config.Lease/10, time.Millisecond))
+	ticker := time.NewTicker(max(k.m.config.Lease/leaseTicks, time.Millisecond))
 	defer ticker.Stop()
 	for {
 		k.tickLease(ctx)
@@ -78,13 +87,17 @@
 
 // tickLease takes or renews the lease if this daemon is a candidate or holds it.
 func (k *keeper) tickLease(ctx context.Context) {
+	if k.m.parts.View.Self().Leaving {
+		k.release(ctx)
+		return
+	}
 	rank, ok := k.rank()
 	_, left := k.lease.remaining()
 	before := left > 0
 	if !ok && !before {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, k.m.config.Lease)
+	callCtx, cancel := context.WithTimeout(ctx, k.m.config.Lease/3)
 	defer cancel()
 	_ = k.lease.tick(callCtx, rank)
 	fence, left := k.lease.remaining()
@@ -203,41 +216,55 @@
 	defer k.mu.Unlock()
 	if k.target != version {
 		k.target = version
-		k.waves = 0
+		k.since = k.m.now()
+		k.half = time.Time{}
 	}
 }
 
-// wave returns the replicas to activate now: none while a reachable replica still
-// stages for the first wave, later every replica that has the version staged.
+// wave returns the replicas to activate now: all that have the version staged, once no
+// reachable one is without it or the laggards had their time.
 func (k *keeper) wave(version int64, replicas []fleet.Replica, reports []*weightspb.ReplicaReport) []*weightspb.Target {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var ready []*weightspb.Target
-	missing := 0
 	targets := targetsOf(replicas)
+	var staged []*weightspb.Target
+	missing := 0
 	for i, r := range reports {
 		switch {
-		case !r.Reached || r.Leaving || (r.Whole && r.Version >= version):
-		case r.Staged >= version || !r.Whole:
-			ready = append(ready, targets[i])
+		case !r.Reached || r.Leaving || current(r, version):
+		case r.Staged >= version:
+			staged = append(staged, targets[i])
 		default:
 			missing++
 		}
 	}
-	if missing > 0 && len(k.staging) == 0 {
-		k.waves++
+	if k.m.config.DisableEarlyStage || missing == 0 || k.laggardsHadTime(len(staged), missing) {
+		return staged
 	}
-	if missing > 0 && k.waves <= partialRetries && !k.m.config.DisableEarlyStage {
-		return nil
+	return nil
+}
+
+// current reports whether the replica runs the version, or a newer one, whole.
+func current(r *weightspb.ReplicaReport, version int64) bool { return r.Whole && r.Version >= version }
+
+// laggardsHadTime reports whether a wave no longer waits for the missing replicas.
+func (k *keeper) laggardsHadTime(staged, missing int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.m.now()
+	if k.half.IsZero() && staged >= missing {
+		k.half = now
 	}
-	return ready
+	if k.half.IsZero() {
+		return false
+	}
+	limit := laggardFactor*k.half.Sub(k.since) + 2*k.m.config.PollInterval
+	return now.Sub(k.since) > limit
 }
 
 // stageMissing starts stage orders on replicas that lack version, StageAtOnce at a time.
 func (k *keeper) stageMissing(ctx context.Context, version int64, replicas []fleet.Replica, reports []*weightspb.ReplicaReport) {
 	targets := targetsOf(replicas)
 	for i, r := range reports {
-		if !r.Reached || r.Leaving || r.Version >= version || r.Staged >= version {
+		if !r.Reached || r.Leaving || current(r, version) || r.Staged >= version {
 			continue
 		}
 		if !k.startStaging(r.Replica) {
@@ -286,11 +313,25 @@
 // takeReports keeps replicas with an incomplete swap out of sample work and steps
 // down when an engine refused the fencing number.
 func (k *keeper) takeReports(ctx context.Context, version int64, reports []*weightspb.ReplicaReport) {
-	var suspensions []*weightspb.Suspension
-	fenced := false
+	for _, r := range reports {
+		if r.Fenced {
+			k.stepDown()
+			break
+		}
+	}
+	if suspensions := k.suspensions(version, reports); len(suspensions) > 0 {
+		k.m.announce(ctx, &weightspb.AnnounceRequest{Pool: k.pool, Version: version, Suspensions: suspensions})
+	}
+}
+
+// suspensions returns the replicas to announce as out of sample work: all incomplete
+// ones when there is a new one among them or it is time for a reminder.
+func (k *keeper) suspensions(version int64, reports []*weightspb.ReplicaReport) []*weightspb.Suspension {
 	k.mu.Lock()
+	defer k.mu.Unlock()
+	var found []*weightspb.Suspension
+	news := false
 	for _, r := range reports {
-		fenced = fenced || r.Fenced
 		if !r.Reached {
 			continue
 		}
@@ -298,20 +339,19 @@
 			delete(k.partial, r.Replica)
 			continue
 		}
-		suspensions = append(suspensions, &weightspb.Suspension{Replica: r.Replica, Min: version})
+		found = append(found, &weightspb.Suspension{Replica: r.Replica, Min: version})
 		if !k.partial[r.Replica] {
+			news = true
 			k.partial[r.Replica] = true
 			k.m.counters.partial.Add(1)
 			k.m.parts.Log.Log(event.WeightsReplicaPartial, event.F("pool", k.pool), event.F("replica", r.Replica), event.F("version", version))
 		}
 	}
-	k.mu.Unlock()
-	if fenced {
-		k.stepDown()
-	}
-	if len(suspensions) > 0 {
-		k.m.announce(ctx, &weightspb.AnnounceRequest{Pool: k.pool, Version: version, Suspensions: suspensions})
+	if !news && k.m.now().Sub(k.reminded) < reminders {
+		return nil
 	}
+	k.reminded = k.m.now()
+	return found
 }
 
 // stepDown gives up the lease after an engine refused the fencing number.
--- a/weights/lease.go
+++ b/weights/lease.go
@@ -159,7 +159,7 @@
 }
 
 // write creates (version 0) or updates the lease object. A lost answer is settled by
-// reading the object back and comparing the nonce.
+// reading the object back.
 func (l *lease) write(ctx context.Context, version int64) error {
 	a := attempt{nonce: newNonce(), started: l.now()}
 	value, err := json.Marshal(leaseRecord{Holder: l.holder, Nonce: a.nonce})
@@ -170,9 +170,6 @@
 	l.attempt = a
 	l.mu.Unlock()
 	object, err := l.put(ctx, value, version)
-	if fault.Is(err, fault.Ambiguous) {
-		object, err = l.readBack(ctx, a.nonce)
-	}
 	if err != nil {
 		return err
 	}
@@ -192,9 +189,9 @@
 
 func (l *lease) put(ctx context.Context, value []byte, version int64) (platform.Object, error) {
 	if version == 0 {
-		return l.store.Create(ctx, l.key, value)
+		return platform.CreateSettled(ctx, l.store, l.key, value)
 	}
-	return l.store.Update(ctx, l.key, value, version)
+	return platform.UpdateSettled(ctx, l.store, l.key, value, version)
 }
 
 func (l *lease) readBack(ctx context.Context, nonce string) (platform.Object, error) {
--- a/weights/order.go
+++ b/weights/order.go
@@ -59,13 +59,17 @@
 		m.counters.refused.Add(1)
 		return fault.New(fault.Fenced, "the weights lease ran out before the order was sent", "the next lease holder sends it", fault.WithOutcome(fault.NotRun))
 	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
 	return send(ctx, backend.Order{Version: version, Fence: fence})
 }
 
 // activateTarget activates version on one replica and reads it back.
 func (m *Manager) activateTarget(ctx context.Context, t *weightspb.Target, version int64, may permit) *weightspb.ReplicaReport {
 	engine := m.parts.Backends.Engine(t.Address)
-	err := m.sendOrder(ctx, t.Address, version, may, engine.Activate)
+	orderCtx, cancel := context.WithTimeout(ctx, activateTimeout)
+	defer cancel()
+	err := m.sendOrder(orderCtx, t.Address, version, may, engine.Activate)
 	report := m.readTarget(ctx, t)
 	if err != nil {
 		report.Error = err.Error()
--- a/weights/share.go
+++ b/weights/share.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 	"github.com/hornbeamtide/hornbeamtide/peer"
@@ -153,26 +155,25 @@
 	return reports
 }
 
-// announce sends news to all members, itself included. Members that miss it ask later.
+// announce takes in news and sends them to all other members, without waiting for
+// them. Members that miss it ask later.
 func (m *Manager) announce(ctx context.Context, r *weightspb.AnnounceRequest) {
 	m.counters.announced.Add(1)
 	m.hear(r)
 	self := m.parts.View.Self().ID
-	limit := make(chan struct{}, announceLimit)
-	var waiting sync.WaitGroup
-	for _, member := range m.parts.View.Members() {
-		if member.ID == self {
-			continue
+	var group errgroup.Group
+	group.SetLimit(announceLimit)
+	go func() {
+		for _, member := range m.parts.View.Members() {
+			if member.ID == self {
+				continue
+			}
+			group.Go(func() error {
+				m.announceTo(ctx, member, r)
+				return nil
+			})
 		}
-		limit <- struct{}{}
-		waiting.Add(1)
-		go func() {
-			defer waiting.Done()
-			defer func() { <-limit }()
-			m.announceTo(ctx, member, r)
-		}()
-	}
-	waiting.Wait()
+	}()
 }
 
 func (m *Manager) announceTo(ctx context.Context, member fleet.Member, r *weightspb.AnnounceRequest) {
