routing: choice by filter, score and pick steps over a datastore

Cause: the thin choice knew only its own requests in progress.

Change: a datastore of replica states (view, load from response headers and polls, own requests in progress, latency, health) apart from the choice, which is a chain of requirements, preferences, a scorer and choosers. Keyed work goes to the key's two rendezvous candidates over the whole pool up to the load bound, then to the better of two; unkeyed work to the own failure domain first. The policies random, round_robin and least_load are chains of the same steps.

--- /dev/null
+++ b/routing/choosers.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+)
+
+// batchFloor is the number of requests that every replica may have before the load
+// bound counts: an engine serves a batch this small at full speed.
+const batchFloor = 2
+
+// ProbeChooser sends the request to a failing or slow replica that is due for a trial.
+type ProbeChooser struct{}
+
+// Choose implements Chooser.
+func (ProbeChooser) Choose(_ *rand.Rand, candidates []Candidate) (int, bool) {
+	for i := range candidates {
+		if candidates[i].ProbeDue {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// PrefixChooser picks the request key's candidates in rank order while their cost is
+// within Bound times the mean, so that requests with a shared prefix meet its cache.
+type PrefixChooser struct {
+	Bound float64
+}
+
+// Choose implements Chooser.
+func (p PrefixChooser) Choose(_ *rand.Rand, candidates []Candidate) (int, bool) {
+	limit := costLimit(candidates, p.Bound)
+	best := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Rank == 0 || c.Cost > limit {
+			continue
+		}
+		if best < 0 || c.Rank < candidates[best].Rank {
+			best = i
+		}
+	}
+	return best, best >= 0
+}
+
+// LocalChooser picks the better of two in the daemon's own failure domain while its
+// cost is within Bound times the mean.
+type LocalChooser struct {
+	Bound float64
+}
+
+// Choose implements Chooser.
+func (l LocalChooser) Choose(random *rand.Rand, candidates []Candidate) (int, bool) {
+	index := betterOfTwo(random, candidates, func(c *Candidate) bool { return c.Local && c.InSubset })
+	if index < 0 || candidates[index].Cost > costLimit(candidates, l.Bound) {
+		return 0, false
+	}
+	return index, true
+}
+
+// TwoChoiceChooser picks the better of two random replicas of the subset, or of all
+// candidates when none of the subset is left.
+type TwoChoiceChooser struct{}
+
+// Choose implements Chooser.
+func (TwoChoiceChooser) Choose(random *rand.Rand, candidates []Candidate) (int, bool) {
+	index := betterOfTwo(random, candidates, func(c *Candidate) bool { return c.InSubset })
+	if index < 0 {
+		index = betterOfTwo(random, candidates, func(*Candidate) bool { return true })
+	}
+	return index, true
+}
+
+// RandomChooser picks any candidate.
+type RandomChooser struct{}
+
+// Choose implements Chooser.
+func (RandomChooser) Choose(random *rand.Rand, candidates []Candidate) (int, bool) {
+	return random.IntN(len(candidates)), true
+}
+
+// LeastChooser picks the candidate with the lowest cost, a random one of equals.
+type LeastChooser struct{}
+
+// Choose implements Chooser.
+func (LeastChooser) Choose(random *rand.Rand, candidates []Candidate) (int, bool) {
+	best, equals := 0, 1
+	for i := 1; i < len(candidates); i++ {
+		switch cmp.Compare(candidates[i].Cost, candidates[best].Cost) {
+		case -1:
+			best, equals = i, 1
+		case 0:
+			equals++
+			if random.IntN(equals) == 0 {
+				best = i
+			}
+		}
+	}
+	return best, true
+}
+
+// RoundRobinChooser picks the candidates in turn, ordered by ID.
+type RoundRobinChooser struct {
+	last string // ID of the last choice
+}
+
+// Choose implements Chooser.
+func (c *RoundRobinChooser) Choose(_ *rand.Rand, candidates []Candidate) (int, bool) {
+	first, next := -1, -1
+	for i := range candidates {
+		id := candidates[i].State.Replica.ID
+		if first < 0 || id < candidates[first].State.Replica.ID {
+			first = i
+		}
+		if id > c.last && (next < 0 || id < candidates[next].State.Replica.ID) {
+			next = i
+		}
+	}
+	if next < 0 {
+		next = first
+	}
+	c.last = candidates[next].State.Replica.ID
+	return next, true
+}
+
+// betterOfTwo compares two random candidates that fit; -1 when none fits.
+func betterOfTwo(random *rand.Rand, candidates []Candidate, fits func(*Candidate) bool) int {
+	first, second, seen := -1, -1, 0
+	for i := range candidates {
+		if !fits(&candidates[i]) {
+			continue
+		}
+		seen++
+		// Reservoir sampling of two.
+		switch slot := random.IntN(seen); {
+		case seen <= 2 && first < 0:
+			first = i
+		case seen == 2:
+			second = i
+		case slot == 0:
+			first = i
+		case slot == 1:
+			second = i
+		}
+	}
+	if second < 0 || candidates[first].Cost < candidates[second].Cost {
+		return first
+	}
+	if candidates[second].Cost < candidates[first].Cost || random.IntN(2) == 0 {
+		return second
+	}
+	return first
+}
+
+// costLimit is bound times the mean cost, but never less than a small batch.
+func costLimit(candidates []Candidate, bound float64) float64 {
+	sum := 0.0
+	for i := range candidates {
+		sum += candidates[i].Cost
+	}
+	return max(bound*sum/float64(len(candidates)), batchFloor)
+}
--- /dev/null
+++ b/routing/dump.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hornbeamtide/hornbeamtide/event"
+)
+
+// Counters count since the daemon's start.
+type Counters struct {
+	Picks    int64 `json:"picks"`    // choices asked for
+	Refused  int64 `json:"refused"`  // choices without a replica
+	Keyed    int64 `json:"keyed"`    // choices with a key
+	Affine   int64 `json:"affine"`   // keyed choices that got one of the key's replicas
+	Local    int64 `json:"local"`    // choices in the own failure domain
+	Probes   int64 `json:"probes"`   // trial requests
+	Failures int64 `json:"failures"` // requests that spoke against their server
+	Polls    int64 `json:"polls"`    // status polls
+}
+
+func (s *Store) countChoice(r Request, c *Candidate) {
+	if r.Key != "" {
+		s.counters.Keyed++
+		if c.Rank > 0 {
+			s.counters.Affine++
+		}
+	}
+	if c.Local {
+		s.counters.Local++
+	}
+	if c.ProbeDue {
+		s.counters.Probes++
+	}
+}
+
+func (s *Store) logSlow(changed []*replica) {
+	for _, r := range changed {
+		e := event.ReplicaNormal
+		if r.state.Slow {
+			e = event.ReplicaSlow
+		}
+		s.log.Log(e, event.F("replica", r.state.Replica.ID), event.F("slowness", r.state.Slowness))
+	}
+}
+
+// Counters returns the counts so far.
+func (s *Store) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+// State is the module's state dump.
+type State struct {
+	Policy   string         `json:"policy"`
+	Counters Counters       `json:"counters"`
+	Replicas []ReplicaState `json:"replicas"` // ordered by ID
+}
+
+// Dump returns the module's state.
+func (s *Store) Dump() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	state := State{Policy: s.config.Policy, Counters: s.counters}
+	for _, r := range s.replicas {
+		state.Replicas = append(state.Replicas, r.snapshot(now))
+	}
+	slices.SortFunc(state.Replicas, func(a, b ReplicaState) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
+	return state
+}
--- /dev/null
+++ b/routing/filters.go
@@ -0,0 +1,51 @@
+package routing
+
+import "slices"
+
+// LeavingFilter drops replicas that take no new work.
+type LeavingFilter struct{}
+
+// Keep implements Filter.
+func (LeavingFilter) Keep(_ Request, c *Candidate) bool {
+	return !c.State.Leaving && !c.State.Replica.Leaving
+}
+
+// ExcludeFilter drops the replicas that the request has tried before.
+type ExcludeFilter struct{}
+
+// Keep implements Filter.
+func (ExcludeFilter) Keep(r Request, c *Candidate) bool {
+	return !slices.Contains(r.Exclude, c.State.Replica.ID)
+}
+
+// SuspendedFilter keeps sample work off replicas whose weights are being switched
+// or that do not report one whole version.
+type SuspendedFilter struct{}
+
+// Keep implements Filter.
+func (SuspendedFilter) Keep(r Request, c *Candidate) bool {
+	return !r.Sample || (c.State.Whole && !c.State.Suspended)
+}
+
+// FullFilter drops replicas with as many requests of this daemon as they may have.
+type FullFilter struct{}
+
+// Keep implements Filter.
+func (FullFilter) Keep(r Request, c *Candidate) bool {
+	return r.MaxInFlight <= 0 || c.State.InFlight < r.MaxInFlight
+}
+
+// FailingFilter drops replicas whose requests and fresh connections failed, but for
+// one trial request once a probe succeeded.
+type FailingFilter struct{}
+
+// Keep implements Filter.
+func (FailingFilter) Keep(_ Request, c *Candidate) bool {
+	return !c.State.Failing || c.ProbeDue
+}
+
+// BusyFilter drops replicas that just refused a request because of their load.
+type BusyFilter struct{}
+
+// Keep implements Filter.
+func (BusyFilter) Keep(_ Request, c *Candidate) bool { return !c.State.Busy }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/backend"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 )
 
@@ -17,9 +18,13 @@
 	Waiting   int       // reported, lagging
 	Reported  time.Time // when the load was reported
 	Version   int64     // reported weight version, 0 unknown
-	Whole     bool      // reports one whole version; always true for plain services
+	Whole     bool      // false after the replica reported a partial swap; true while unknown
 	Suspended bool      // takes no sample work, a weight swap is in progress or failed
 	Failing   bool      // recent requests or polls failed on fresh connections
+	Leaving   bool      // the list or the server itself says that it takes no new work
+	Slowness  float64   // own latency over the pool's median, 1 while unknown
+	Busy      bool      // just refused a request because of its load
+	Slow      bool      // several times slower than the pool
 }
 
 // Request is what the choice depends on.
@@ -29,16 +34,26 @@
 	Key         string   // prefix or group key, "" for unkeyed work
 	Sample      bool     // generates a sample: needs a whole version
 	Exclude     []string // replica IDs tried before
-	MaxInFlight int      // requests in progress a server from one daemon
+	MaxInFlight int      // requests in progress a server from one daemon, 0 for no limit
 }
 
-// Lease is a chosen replica. Done must be called once when the request ended.
+// Lease is a chosen replica. Done must be called once when the request ended. The
+// other functions may be nil and may be called any number of times before Done.
 type Lease struct {
 	Replica fleet.Replica
 	Done    func(err error, duration time.Duration)
+	// Progress reports that so many more tokens took the given time.
+	Progress func(tokens int, elapsed time.Duration)
+	// Load reports the load that came with the server's response.
+	Load func(l backend.Load)
 }
 
 // Picker chooses replicas. Errors: fault.Unavailable or fault.Overloaded, both not run.
 type Picker interface {
 	Pick(ctx context.Context, r Request) (Lease, error)
 }
+
+// LeavingReporter is told when a server itself says that it takes no new work.
+type LeavingReporter interface {
+	MarkLeaving(replicaID string)
+}
--- a/routing/store.go
+++ b/routing/store.go
@@ -27,16 +27,16 @@
 	docs     fleet.Documents
 	backends backend.Dialer
 	log      *event.Logger
+	now      func() time.Time
+	dial     Dial
 
 	mu       sync.Mutex
+	reporter LeavingReporter
+	policy   policy
 	replicas map[string]*replica // by replica ID
+	pools    map[string]*pool    // by name
 	random   *rand.Rand
-}
-
-// replica is the mutable state of one backend server, guarded by Store.mu.
-type replica struct {
-	state  ReplicaState
-	resume int64 // version that ends the suspension
+	counters Counters
 }
 
 // NewStore returns a Store that follows the replicas of view for the pools of docs.
@@ -47,59 +47,195 @@
 		docs:     docs,
 		backends: backends,
 		log:      log,
+		now:      time.Now,
+		dial:     dialTCP,
+		policy:   newPolicy(config.Policy, config.LoadBound),
 		replicas: make(map[string]*replica),
+		pools:    make(map[string]*pool),
 		random:   rand.New(rand.NewPCG(config.Seed, config.Seed)),
 	}
 }
 
+// SetLeavingReporter sets who is told when a server says that it takes no new work.
+// Calls come from goroutines of their own.
+func (s *Store) SetLeavingReporter(reporter LeavingReporter) {
+	s.mu.Lock()
+	s.reporter = reporter
+	s.mu.Unlock()
+}
+
 // Pick implements Picker.
 func (s *Store) Pick(_ context.Context, r Request) (Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best *replica
-	for _, server := range s.view.Replicas(r.Pool) {
-		candidate := s.ensure(server)
-		if !usable(candidate.state, r) {
-			continue
+	now := s.now()
+	p := s.refresh(r.Pool, now)
+	p.picks++
+	s.counters.Picks++
+	chosen, ok := s.policy.choose(s.random, r, s.candidates(p, r, now))
+	if !ok {
+		s.counters.Refused++
+		return Lease{}, refusal(r, p, now)
+	}
+	rep := s.replicas[chosen.State.Replica.ID]
+	s.countChoice(r, chosen)
+	trial := rep.begin(p.picks, now)
+	return s.lease(rep, now, trial), nil
+}
+
+// refusal says why no replica can be chosen.
+func refusal(r Request, p *pool, now time.Time) error {
+	for _, rep := range p.whole {
+		c := Candidate{State: rep.snapshot(now)}
+		open := LeavingFilter{}.Keep(r, &c) && ExcludeFilter{}.Keep(r, &c) && SuspendedFilter{}.Keep(r, &c)
+		if open {
+			return fault.New(fault.Overloaded, "all backend servers of pool "+r.Pool+" are full",
+				"retry later", fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
 		}
-		if best == nil || candidate.state.InFlight < best.state.InFlight {
-			best = candidate
+	}
+	return fault.New(fault.Unavailable, "no backend server of pool "+r.Pool+" takes this work",
+		"retry later; check the instance list and status", fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
+}
+
+// candidates returns the subset and the two replicas of the request's key.
+func (s *Store) candidates(p *pool, r Request, now time.Time) []Candidate {
+	first, second := p.keyCandidates(r.Key)
+	shared := choiceContext{now: now, picks: p.picks, domain: s.view.Self().FailureDomain, unknown: meanOthers(p.subset)}
+	out := make([]Candidate, 0, len(p.subset)+2)
+	for _, rep := range p.subset {
+		out = append(out, rep.candidate(shared, rankOf(rep, first, second)))
+	}
+	for rank, id := range []string{first, second} {
+		rep := s.replicas[id]
+		if rep == nil || rep.inSubset || (rank == 1 && second == first) {
+			continue
 		}
+		out = append(out, rep.candidate(shared, rank+1))
 	}
-	if best == nil {
-		return Lease{}, fault.New(fault.Unavailable, "no backend server of pool "+r.Pool+" takes work",
-			"retry later", fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
+	return out
+}
+
+func rankOf(rep *replica, first, second string) int {
+	switch rep.state.Replica.ID {
+	case first:
+		return 1
+	case second:
+		return 2
 	}
-	best.state.InFlight++
-	return Lease{Replica: best.state.Replica, Done: s.done(best)}, nil
+	return 0
 }
 
-func usable(state ReplicaState, r Request) bool {
-	for _, id := range r.Exclude {
-		if id == state.Replica.ID {
-			return false
+// meanOthers is the mean load by other daemons, assumed for replicas that never
+// reported their load.
+func meanOthers(replicas []*replica) float64 {
+	sum, known := 0.0, 0
+	for _, rep := range replicas {
+		if others, ok := rep.others(); ok {
+			sum += others
+			known++
 		}
 	}
-	full := r.MaxInFlight > 0 && state.InFlight >= r.MaxInFlight
-	return !state.Replica.Leaving && !full && !(r.Sample && state.Suspended)
+	if known == 0 {
+		return 0
+	}
+	return sum / float64(known)
 }
 
-func (s *Store) done(rep *replica) func(error, time.Duration) {
-	return func(error, time.Duration) {
-		s.mu.Lock()
-		rep.state.InFlight--
-		s.mu.Unlock()
+// choiceContext is what the candidates of one choice have in common.
+type choiceContext struct {
+	now     time.Time
+	picks   int64   // choices of the pool so far
+	domain  string  // the daemon's failure domain
+	unknown float64 // assumed load by other daemons of a replica without reports
+}
+
+func (r *replica) candidate(c choiceContext, rank int) Candidate {
+	r.wanted = c.now
+	others, ok := r.others()
+	if !ok {
+		others = c.unknown
+	}
+	return Candidate{
+		State:    r.snapshot(c.now),
+		Rank:     rank,
+		InSubset: r.inSubset,
+		Local:    r.state.Replica.FailureDomain == c.domain,
+		ProbeDue: r.probeDue(c.picks, c.now),
+		Load:     others + float64(r.state.InFlight),
 	}
 }
 
-func (s *Store) ensure(server fleet.Replica) *replica {
-	rep := s.replicas[server.ID]
-	if rep == nil {
-		rep = &replica{state: ReplicaState{Whole: true}}
-		s.replicas[server.ID] = rep
+func (r *replica) snapshot(now time.Time) ReplicaState {
+	state := r.state
+	state.Leaving = r.leaving(now)
+	state.Busy = now.Before(r.busyUntil)
+	return state
+}
+
+// begin counts a chosen request in. It reports whether this is the trial request of
+// a failing replica.
+func (r *replica) begin(picks int64, now time.Time) (trial bool) {
+	r.state.InFlight++
+	r.probePicks = picks
+	r.lastProbe = now
+	trial = r.state.Failing && r.health.halfOpen && !r.health.trial
+	r.health.trial = r.health.trial || trial
+	return trial
+}
+
+func (s *Store) lease(rep *replica, started time.Time, trial bool) Lease {
+	var once sync.Once
+	return Lease{
+		Replica: rep.state.Replica,
+		Done: func(err error, duration time.Duration) {
+			once.Do(func() { s.end(rep, err, started, duration, trial) })
+		},
+		Progress: func(tokens int, elapsed time.Duration) {
+			s.mu.Lock()
+			rep.latency.observeTokens(tokens, elapsed)
+			s.mu.Unlock()
+		},
+		Load: func(load backend.Load) {
+			s.mu.Lock()
+			rep.report(load, s.now())
+			s.mu.Unlock()
+		},
+	}
+}
+
+// end takes the end of a request in.
+func (s *Store) end(rep *replica, err error, started time.Time, duration time.Duration, trial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	rep.state.InFlight--
+	if trial {
+		rep.health.trial = false
+	}
+	outcome := judge(err, started, rep.health.lastSuccess)
+	rep.observe(err, duration)
+	switch {
+	case outcome == succeeded:
+		s.markSuccess(rep, now)
+	case outcome == suspect && trial:
+		s.holdFailing(rep, now)
+	case outcome == suspect:
+		s.counters.Failures++
+		s.markSuspect(rep, started, now)
+	case outcome == busy:
+		rep.busyUntil = now.Add(busyHold)
+	case outcome == leaves:
+		s.markLeaving(rep, now)
+	}
+}
+
+// observe takes the duration of a request in. That of an unfinished one is a lower
+// bound.
+func (r *replica) observe(err error, duration time.Duration) {
+	unfinished := fault.Is(err, fault.Deadline) || fault.Is(err, fault.Canceled)
+	if err == nil || (unfinished && duration.Seconds() > r.latency.request.mean) {
+		r.latency.observeRequest(duration)
 	}
-	rep.state.Replica = server
-	return rep
 }
 
 // Suspend stops sample work on the replica until it reports one whole version,
@@ -109,9 +245,12 @@
 	defer s.mu.Unlock()
 	rep := s.replicas[replicaID]
 	if rep == nil {
-		rep = &replica{state: ReplicaState{Whole: true}}
+		rep = newReplica(fleet.Replica{ID: replicaID})
 		s.replicas[replicaID] = rep
 	}
+	if !rep.state.Suspended {
+		s.log.Log(event.ReplicaSuspended, event.F("replica", replicaID), event.F("version", min))
+	}
 	rep.state.Suspended = true
 	rep.resume = max(rep.resume, min)
 }
