--- /dev/null
+++ b/claims/fakes_test.go
@@ -0,0 +1,210 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/hornbeamtide/hornbeamtide/claims/claimspb"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// memoryStore is an object API in memory. before runs ahead of each call, outside
+// the lock, and may block or fail it; lose decides whether a write's answer is lost.
+type memoryStore struct {
+	platform.ObjectStore
+	mu       sync.Mutex
+	objects  map[string]platform.Object
+	revision int64
+	before   func(call, key string) error
+	lose     func(key string) bool
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: map[string]platform.Object{}}
+}
+
+func (s *memoryStore) enter(call, key string) error {
+	s.mu.Lock()
+	before := s.before
+	s.mu.Unlock()
+	if before == nil {
+		return nil
+	}
+	return before(call, key)
+}
+
+func (s *memoryStore) setBefore(before func(call, key string) error) {
+	s.mu.Lock()
+	s.before = before
+	s.mu.Unlock()
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	if err := s.enter("get", key); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return object, fault.New(fault.NotFound, key, "")
+	}
+	return object, nil
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) (platform.Snapshot, error) {
+	if err := s.enter("list", prefix); err != nil {
+		return platform.Snapshot{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := platform.Snapshot{Revision: s.revision}
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			snapshot.Objects = append(snapshot.Objects, object)
+		}
+	}
+	slices.SortFunc(snapshot.Objects, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	return snapshot, nil
+}
+
+func (s *memoryStore) Create(_ context.Context, key string, value []byte) (platform.Object, error) {
+	return s.write("create", key, value, 0)
+}
+
+func (s *memoryStore) Update(_ context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	return s.write("update", key, value, version)
+}
+
+func (s *memoryStore) write(call, key string, value []byte, version int64) (platform.Object, error) {
+	if err := s.enter(call, key); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != version {
+		return platform.Object{}, fault.New(fault.Conflict, key, "")
+	}
+	s.revision++
+	object := platform.Object{Key: key, Version: s.revision, Value: value}
+	s.objects[key] = object
+	if s.lose != nil && s.lose(key) {
+		return platform.Object{}, fault.New(fault.Ambiguous, "answer lost", "")
+	}
+	return object, nil
+}
+
+func (s *memoryStore) Delete(_ context.Context, key string, version int64) error {
+	if err := s.enter("delete", key); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version == version {
+		delete(s.objects, key)
+	}
+	return nil
+}
+
+func (s *memoryStore) count(part string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.objects {
+		if strings.Contains(key, part) {
+			n++
+		}
+	}
+	return n
+}
+
+// cluster is a few Managers over one store. keeper says whom each daemon takes for
+// the keeper of all shards.
+type cluster struct {
+	store    *memoryStore
+	managers map[string]*Manager
+	mu       sync.Mutex
+	keeper   map[string]string                     // by daemon
+	lost     func(to string, reply bool) (e error) // calls and replies between daemons
+}
+
+type daemonView struct {
+	fleet.View
+	c  *cluster
+	id string
+}
+
+func (v daemonView) Self() fleet.Member { return fleet.Member{ID: v.id, PeerAddress: v.id} }
+func (v daemonView) Owners(string, int) []fleet.Member {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	id := v.c.keeper[v.id]
+	return []fleet.Member{{ID: id, PeerAddress: id}}
+}
+
+func newCluster(t *testing.T, ids ...string) *cluster {
+	c := &cluster{store: newMemoryStore(), managers: map[string]*Manager{}, keeper: map[string]string{}}
+	for _, id := range ids {
+		config := Config{Shards: 1, BatchInterval: time.Microsecond, Retention: time.Hour}
+		c.managers[id] = NewManager(config, daemonView{c: c, id: id}, c.store, c, nil)
+		c.keeper[id] = ids[0]
+		t.Cleanup(c.managers[id].stop)
+	}
+	return c
+}
+
+func (c *cluster) setKeeper(daemon, keeper string) {
+	c.mu.Lock()
+	c.keeper[daemon] = keeper
+	c.mu.Unlock()
+}
+
+func (c *cluster) claim(t *testing.T, daemon, key string) error {
+	return c.managers[daemon].Claim(t.Context(), Claim{Service: "orders", Key: key, Fingerprint: 1})
+}
+
+// Conn implements peer.Conns: calls go straight to the other Manager.
+func (c *cluster) Conn(_ context.Context, address string) (drpc.Conn, error) {
+	return directConn{c: c, to: address}, nil
+}
+
+type directConn struct {
+	drpc.Conn
+	c  *cluster
+	to string
+}
+
+func (d directConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, _ drpc.Message) error {
+	if d.c.lost != nil {
+		if err := d.c.lost(d.to, false); err != nil {
+			return err
+		}
+	}
+	_, err := server{d.c.managers[d.to]}.Claim(ctx, in.(*claimspb.ClaimRequest))
+	if err == nil && d.c.lost != nil {
+		return d.c.lost(d.to, true)
+	}
+	return err
+}
+
+// flaky fails calls at random: before they have an effect or by losing the answer.
+func (s *memoryStore) flaky(seed uint64, percent int) {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, seed))
+	hits := func() bool { mu.Lock(); defer mu.Unlock(); return random.IntN(100) < percent }
+	s.before = func(call, key string) error {
+		if hits() {
+			return fault.New(fault.Unavailable, call+" "+key, "")
+		}
+		return nil
+	}
+	s.lose = func(string) bool { return hits() }
+}
--- /dev/null
+++ b/claims/journal.go
@@ -0,0 +1,137 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"path"
+	"strconv"
+	"strings"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// The journal of a shard is a sequence of entries, each an object that is created
+// once and never changed. Entry n can be created only by a keeper that read entries
+// 1 to n-1, so a keeper with an old state can't grant anything.
+//
+// Old entries are merged into segments. The head names the segments and the last
+// merged entry; merged entries are deleted later. A keeper that creates an entry
+// reads the head afterwards: when the head covers the entry's number, the keeper's
+// state was old and the entry means nothing.
+
+const (
+	journalRoot    = "claims"
+	headName       = "head"
+	entryPrefix    = "e-"
+	segmentPrefix  = "s-"
+	sequenceDigits = 12
+)
+
+// grant is one granted claim.
+type grant struct {
+	Key         string `json:"key"`
+	Fingerprint uint64 `json:"fingerprint"`
+	Nonce       uint64 `json:"nonce"` // of the caller that may dispatch
+	At          int64  `json:"at"`    // Unix time, ms
+}
+
+// entry is the value of one journal object.
+type entry struct {
+	Writer string  `json:"writer"` // member ID
+	Nonce  uint64  `json:"nonce"`  // of this write
+	Grants []grant `json:"grants"`
+}
+
+// head is the value of the shard's head object.
+type head struct {
+	Through  int64        `json:"through"` // last entry that was merged
+	Segments []segmentRef `json:"segments"`
+}
+
+// segmentRef names a segment.
+type segmentRef struct {
+	Name   string `json:"name"`
+	Newest int64  `json:"newest"` // time of its newest grant, Unix ms
+}
+
+// journal reads and writes the objects of one shard.
+type journal struct {
+	store  platform.ObjectStore
+	prefix string // ends with "/"
+}
+
+func newJournal(store platform.ObjectStore, service string, shard int) journal {
+	return journal{store: store, prefix: path.Join(journalRoot, service, strconv.Itoa(shard)) + "/"}
+}
+
+func (j journal) entryKey(sequence int64) string {
+	return fmt.Sprintf("%s%s%0*d", j.prefix, entryPrefix, sequenceDigits, sequence)
+}
+
+func (j journal) headKey() string { return j.prefix + headName }
+
+// sequenceOf returns the number of an entry's key.
+func (j journal) sequenceOf(key string) (int64, bool) {
+	digits, ok := strings.CutPrefix(key, j.prefix+entryPrefix)
+	if !ok {
+		return 0, false
+	}
+	sequence, err := strconv.ParseInt(digits, 10, 64)
+	return sequence, err == nil
+}
+
+// append creates entry number sequence. It returns fault.Conflict when the entry
+// exists or the head covers it, that is when the caller's state is old.
+func (j journal) append(ctx context.Context, sequence int64, e entry) (platform.Object, error) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	object, err := platform.CreateSettled(ctx, j.store, j.entryKey(sequence), value)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	current, _, err := j.readHead(ctx)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if current.Through >= sequence {
+		return platform.Object{}, fault.New(fault.Conflict, "the journal was compacted beyond "+j.entryKey(sequence), "load the shard again")
+	}
+	return object, nil
+}
+
+// readHead returns the head and its version, zero when there is none.
+func (j journal) readHead(ctx context.Context) (head, int64, error) {
+	object, err := j.store.Get(ctx, j.headKey())
+	if fault.Is(err, fault.NotFound) {
+		return head{}, 0, nil
+	}
+	if err != nil {
+		return head{}, 0, err
+	}
+	var h head
+	err = decode(object, &h)
+	return h, object.Version, err
+}
+
+// writeHead replaces the head at the given version, zero for none.
+func (j journal) writeHead(ctx context.Context, h head, version int64) (platform.Object, error) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if version == 0 {
+		return platform.CreateSettled(ctx, j.store, j.headKey(), value)
+	}
+	return platform.UpdateSettled(ctx, j.store, j.headKey(), value, version)
+}
+
+func decode(object platform.Object, into any) error {
+	if err := json.Unmarshal(object.Value, into); err != nil {
+		return fault.Wrap(err, fault.Internal, "decode "+object.Key, "restore the object or remove the shard's journal")
+	}
+	return nil
+}
