fleet: domain collectors, exchange of summaries, status of all daemons

Cause: with each daemon reading the platform its calls grow with the fleet, and a daemon knew only what it has in force itself. Change: two collectors a failure domain by rendezvous hashing watch the platform; members hold one drpc stream to theirs, reports up, documents, list changes and flags down. Collectors exchange summaries, take turns to read the instance list and fetch what a peer has newer. Status is one row a daemon: the store revision up to which it has every document, and exceptions. Silent daemons are passed over and offered the list, so that a daemon restarted during an outage finds its peers. Leaving marks spread; Drain hands roles over. Conclusion: go test -race -count=2 ./fleet passes.

--- a/fleet/admin.go
+++ b/fleet/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"strconv"
 
 	"github.com/hornbeamtide/hornbeamtide/document"
@@ -80,16 +79,3 @@
 	}
 	return document.Versioned{Document: parsed, Version: object.Version, Source: object.Value}, nil
 }
-
-// Status implements Admin.
-func (m *Manager) Status(ctx context.Context) ([]ServiceStatus, error) {
-	var all []ServiceStatus
-	for _, held := range m.All() {
-		all = append(all, ServiceStatus{
-			Service: held.Document.Service, Version: held.Version,
-			InForce: []string{m.config.Self.ID}, Behind: []Behind{},
-		})
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Service < all[j].Service })
-	return all, nil
-}
--- /dev/null
+++ b/fleet/cluster_test.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+)
+
+// Short intervals of the daemons in tests.
+const (
+	testInterval      = 50 * time.Millisecond
+	testMemberTimeout = 600 * time.Millisecond
+	testIsolation     = 1500 * time.Millisecond
+)
+
+// cluster runs daemons' Managers against one fake platform.
+type cluster struct {
+	t       *testing.T
+	fake    *fakeplatform.Server
+	address string
+}
+
+func newCluster(t *testing.T) *cluster {
+	fake := fakeplatform.New(fakeplatform.Config{BookmarkInterval: testInterval})
+	return &cluster{t: t, fake: fake, address: servePlatform(t, fake)}
+}
+
+// node is one daemon. It can be stopped and started again on the same address.
+type node struct {
+	*Manager
+	cluster *cluster
+	self    Member
+	client  *platform.Client
+	pool    *peer.Pool
+	cancel  context.CancelFunc
+	ended   sync.WaitGroup
+}
+
+// add starts a daemon in a failure domain and lists it.
+func (c *cluster) add(id, domain string) *node {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n := &node{cluster: c, self: Member{ID: id, Address: id, PeerAddress: listener.Addr().String(), Region: "r", FailureDomain: domain}}
+	n.list(platform.Live)
+	n.serve(listener)
+	c.t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) list(state platform.InstanceState) {
+	n.cluster.fake.SetInstance(platform.Instance{
+		ID: n.self.ID, Pool: platform.DaemonPool, Address: n.self.Address, PeerAddress: n.self.PeerAddress,
+		Region: n.self.Region, FailureDomain: n.self.FailureDomain, State: state,
+	})
+}
+
+// start starts a stopped daemon on its address, without what it knew.
+func (n *node) start() {
+	n.cluster.t.Helper()
+	listener, err := net.Listen("tcp", n.self.PeerAddress)
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	n.serve(listener)
+}
+
+func (n *node) serve(listener net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.client = platform.NewClient(platform.Config{
+		Address: n.cluster.address, CallTimeout: testMemberTimeout, Progress: testMemberTimeout,
+	}, nil)
+	n.pool = peer.NewPool(peer.Config{Connect: testMemberTimeout, Progress: testMemberTimeout}, nil)
+	n.Manager = NewManager(Config{
+		Self: n.self, ReportInterval: testInterval, ListInterval: testInterval, DirectInterval: 2 * testInterval,
+		MemberTimeout: testMemberTimeout, IsolationLimit: testIsolation, Parse: testParse,
+	}, n.client, n.client, n.pool, nil)
+	server := peer.NewServer(nil)
+	if err := n.Register(server.Mux()); err != nil {
+		n.cluster.t.Error(err)
+	}
+	n.ended.Go(func() { _ = server.Serve(ctx, listener) })
+	manager := n.Manager
+	n.ended.Go(func() { _ = manager.Run(ctx) })
+}
+
+// stop ends the daemon at once, as a crash does.
+func (n *node) stop() {
+	n.cancel()
+	n.pool.Close()
+	n.ended.Wait()
+	n.client.Close()
+}
+
+// inForce returns the version of a service's document in force on the daemon.
+func (n *node) inForce(service string) int64 {
+	held, _ := n.Document(service)
+	return held.Version
+}
+
+// collectors returns the daemons that collect now.
+func collectors(nodes []*node) []*node {
+	var found []*node
+	for _, n := range nodes {
+		if n.collector.running() {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
+// everywhere reports whether a version is in force on all daemons.
+func everywhere(nodes []*node, service string, version int64) bool {
+	for _, n := range nodes {
+		if n.inForce(service) != version {
+			return false
+		}
+	}
+	return true
+}
+
+func allReady(nodes []*node) bool {
+	for _, n := range nodes {
+		if !n.Ready() || len(n.Members()) != len(nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// apply changes a document through a daemon and returns its version.
+func apply(t *testing.T, n *node, text string, version int64) int64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	applied, err := n.Apply(ctx, []byte(text), version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return applied.Version
+}
+
+func TestDocumentsReachMembersThroughCollectorsOnly(t *testing.T) {
+	c := newCluster(t)
+	nodes := []*node{c.add("d1", "x"), c.add("d2", "x"), c.add("d3", "x"), c.add("d4", "x"), c.add("d5", "y"), c.add("d6", "y")}
+	eventually(t, "all ready", func() bool { return allReady(nodes) })
+	eventually(t, "two collectors a domain", func() bool { return len(collectors(nodes)) == 4 && c.fake.Calls().Waiting == 4 })
+
+	version := apply(t, nodes[0], "svc one", 0)
+	version = apply(t, nodes[5], "svc two", version)
+	eventually(t, "in force everywhere", func() bool { return everywhere(nodes, "svc", version) })
+	for _, n := range nodes {
+		eventually(t, "status of "+n.self.ID+" shows all six", func() bool {
+			status, err := n.Status(context.Background())
+			return err == nil && len(status) == 1 && status[0].Version == version && len(status[0].InForce) == 6
+		})
+		if !n.collector.running() && !n.member.attached() {
+			t.Errorf("%s is neither a collector nor attends one", n.self.ID)
+		}
+	}
+}
+
+// restart stops the daemon and starts it again.
+func (n *node) restart() {
+	n.stop()
+	n.start()
+}
--- a/fleet/direct.go
+++ b/fleet/direct.go
@@ -3,12 +3,28 @@
 import (
 	"context"
 
+	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
-// readPlatform reads the instance list and the documents from the platform.
+// readDirect reads the platform while this daemon neither attends a collector nor is
+// one: at once at the start, later at a jittered interval.
+func (m *Manager) readDirect(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !m.member.attached() && !m.collector.running() {
+			m.counts.directReads.Add(1)
+			m.readPlatform(ctx)
+		}
+		wait(ctx, jitter(m.config.DirectInterval))
+	}
+}
+
+// readPlatform reads list and documents. What the last collector told of instances is
+// dropped once it is old.
 func (m *Manager) readPlatform(ctx context.Context) {
-	_ = m.readList(ctx)
+	if m.readList(ctx) == nil && m.member.lost() {
+		m.applyFlags(&fleetpb.Flags{})
+	}
 	_, _ = m.readDocuments(ctx)
 }
 
@@ -23,7 +39,7 @@
 	return nil
 }
 
-// offerList applies a list unless a newer one is known.
+// offerList applies a list unless it is older than the known one.
 func (m *Manager) offerList(snapshot platform.InstanceSnapshot) {
 	m.update(func(r *roster) bool {
 		if r.known && snapshot.Revision <= r.list.Revision {
@@ -35,6 +51,13 @@
 	})
 }
 
+// listSnapshot returns the known list and whether there is one.
+func (m *Manager) listSnapshot() (platform.InstanceSnapshot, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.list, m.roster.known
+}
+
 // readDocuments reads all documents and returns the store revision they are of.
 func (m *Manager) readDocuments(ctx context.Context) (int64, error) {
 	snapshot, err := m.store.List(ctx, documentPrefix)
@@ -46,9 +69,9 @@
 	names := make([]string, 0, len(snapshot.Objects))
 	revisions := make([]revision, 0, len(snapshot.Objects))
 	for _, object := range snapshot.Objects {
-		service := serviceOf(object.Key)
-		names = append(names, service)
-		revisions = append(revisions, revision{Service: service, Version: object.Version, Source: object.Value, Accepted: now})
+		r := revisionOf(object, now)
+		names = append(names, r.Service)
+		revisions = append(revisions, r)
 	}
 	m.documents.offerWhole(names, revisions, snapshot.Revision, now)
 	return snapshot.Revision, nil
--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -41,11 +41,12 @@
 	parse parseFunc
 	log   *event.Logger
 
-	mu       sync.Mutex
-	entries  map[string]*entry
-	complete int64         // every document change up to this object version is known
-	known    bool          // a whole set was received
-	changed  chan struct{} // closed at the next change
+	mu      sync.Mutex
+	entries map[string]*entry
+	asOf    int64         // every document change up to this store revision is known
+	newest  int64         // version of the newest change up to asOf
+	known   bool          // a whole set was received
+	changed chan struct{} // closed at the next change
 }
 
 func newDocumentSet(parse parseFunc, log *event.Logger) *documentSet {
@@ -64,40 +65,47 @@
 	return true
 }
 
-// offerAll applies revisions and then records that the set is complete up to an
-// object version.
-func (d *documentSet) offerAll(revisions []revision, complete int64) {
+// offerAll applies revisions and then records that the set is complete up to a store
+// revision.
+func (d *documentSet) offerAll(revisions []revision, asOf int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	applied := false
 	for _, r := range revisions {
 		applied = d.apply(r) || applied
 	}
-	if complete > d.complete {
-		d.complete = complete
-		applied = true
-	}
-	if applied {
+	if d.advance(asOf) || applied {
 		d.notify()
 	}
 }
 
-// offerWhole applies a whole set as of an object version: services that are missing
-// from names were deleted no later than asOf.
+// advance records that the set is complete up to a store revision. It reports whether
+// the head changed. The caller holds the lock.
+func (d *documentSet) advance(asOf int64) bool {
+	if asOf <= d.asOf {
+		return false
+	}
+	before := d.newest
+	d.asOf = asOf
+	for _, e := range d.entries {
+		if e.newest.Version <= asOf {
+			d.newest = max(d.newest, e.newest.Version)
+		}
+	}
+	return d.newest != before
+}
+
+// offerWhole applies a whole set as of a store revision: services that are missing
+// from names were deleted no later than that.
 func (d *documentSet) offerWhole(names []string, revisions []revision, asOf int64, now time.Time) {
 	present := make(map[string]bool, len(names))
 	for _, name := range names {
 		present[name] = true
 	}
-	complete := int64(0)
-	for _, r := range revisions {
-		complete = max(complete, r.Version)
-	}
-	revisions = append(revisions, d.missing(present, asOf, now)...)
-	d.offerAll(revisions, complete)
+	d.offerAll(append(revisions, d.missing(present, asOf, now)...), asOf)
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.known = true
-	d.mu.Unlock()
 }
 
 // missing returns the deletions that a whole set as of an object version implies.
@@ -125,6 +133,9 @@
 	}
 	e.newest = r
 	e.remember(r)
+	if r.Version <= d.asOf {
+		d.newest = max(d.newest, r.Version)
+	}
 	if r.Deleted {
 		e.inForce = document.Versioned{Version: r.Version}
 		return true
@@ -158,14 +169,24 @@
 	return 0
 }
 
+// versionAt returns the newest version of a service's document that is not after an
+// object version, 0 if there was none.
+func (d *documentSet) versionAt(service string, head int64) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[service]; e != nil {
+		return e.versionAt(head)
+	}
+	return 0
+}
+
 func (d *documentSet) notify() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-// changes returns the revisions after an object version ordered by version, and a
-// channel that is closed at the next change.
-func (d *documentSet) changes(after int64) ([]revision, chan struct{}) {
+// changes returns the newest revisions after an object version, ordered by version.
+func (d *documentSet) changes(after int64) []revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var found []revision
@@ -175,13 +196,17 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Version < found[j].Version })
-	return found, d.changed
+	return found
 }
 
-// names returns the services that have a document.
-func (d *documentSet) names() []string {
+// whole returns the services that have a document as of a store revision, 0 if no
+// whole set was received.
+func (d *documentSet) whole() ([]string, int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.known {
+		return nil, 0
+	}
 	var names []string
 	for service, e := range d.entries {
 		if !e.newest.Deleted {
@@ -189,14 +214,22 @@
 		}
 	}
 	sort.Strings(names)
-	return names
+	return names, d.asOf
+}
+
+// head returns the version of the newest document change up to which every change
+// is known. Unlike asOf it stays the same while no document changes.
+func (d *documentSet) head() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.newest
 }
 
-// completeTo returns the object version up to which every change is known.
+// completeTo returns the store revision up to which every change is known.
 func (d *documentSet) completeTo() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.complete
+	return d.asOf
 }
 
 // ready reports whether a whole set was received.
@@ -206,22 +239,33 @@
 	return d.known
 }
 
-// behind returns the versions in force of the documents whose newest version could
-// not be put in force.
-func (d *documentSet) behind() map[string]int64 {
+// exceptions returns the versions in force that head does not tell: older ones of
+// documents that could not be read, and ones after head.
+func (d *documentSet) exceptions() map[string]int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var behind map[string]int64
+	var exceptions map[string]int64
 	for service, e := range d.entries {
-		if e.inForce.Version == e.newest.Version {
+		if e.inForce.Version == e.newest.Version && e.inForce.Version <= d.newest {
 			continue
 		}
-		if behind == nil {
-			behind = map[string]int64{}
+		if exceptions == nil {
+			exceptions = map[string]int64{}
 		}
-		behind[service] = e.inForce.Version
+		exceptions[service] = e.inForce.Version
+	}
+	return exceptions
+}
+
+// highest returns the highest version of any document.
+func (d *documentSet) highest() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	highest := d.newest
+	for _, e := range d.entries {
+		highest = max(highest, e.newest.Version)
 	}
-	return behind
+	return highest
 }
 
 // Document implements Documents.
--- /dev/null
+++ b/fleet/dump.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+type counters struct {
+	reportsSent, reportsReceived, updatesSent, updatesReceived atomic.Int64
+	exchanges, fetches, directReads                            atomic.Int64
+}
+
+// Counters counts the messages of a Manager.
+type Counters struct {
+	ReportsSent     int64 `json:"reports_sent"`
+	ReportsReceived int64 `json:"reports_received"`
+	UpdatesSent     int64 `json:"updates_sent"`
+	UpdatesReceived int64 `json:"updates_received"`
+	Exchanges       int64 `json:"exchanges"`    // summaries swapped with other collectors
+	Fetches         int64 `json:"fetches"`      // messages of documents taken from peers
+	DirectReads     int64 `json:"direct_reads"` // reads of the platform without a collector
+}
+
+// Counters returns the counts so far.
+func (m *Manager) Counters() Counters {
+	return Counters{
+		ReportsSent:     m.counts.reportsSent.Load(),
+		ReportsReceived: m.counts.reportsReceived.Load(),
+		UpdatesSent:     m.counts.updatesSent.Load(),
+		UpdatesReceived: m.counts.updatesReceived.Load(),
+		Exchanges:       m.counts.exchanges.Load(),
+		Fetches:         m.counts.fetches.Load(),
+		DirectReads:     m.counts.directReads.Load(),
+	}
+}
+
+// Dump is the state of a Manager.
+type Dump struct {
+	Self         Member         `json:"self"`
+	Collecting   bool           `json:"collecting"`
+	Collector    string         `json:"collector"` // attended, "" if none
+	Attendees    []string       `json:"attendees"`
+	Peers        []string       `json:"peers"` // collectors heard lately
+	Members      []string       `json:"members"`
+	Leaving      []string       `json:"leaving"` // observed, not only listed
+	Silent       []string       `json:"silent"`
+	ListRevision int64          `json:"list_revision"`
+	AsOf         int64          `json:"as_of"` // store revision up to which documents are complete
+	Documents    []DocumentDump `json:"documents"`
+	Contact      time.Time      `json:"contact"` // last answer of the platform or a peer
+	Isolated     bool           `json:"isolated"`
+	Counters     Counters       `json:"counters"`
+}
+
+// DocumentDump is the state of one document.
+type DocumentDump struct {
+	Service string `json:"service"`
+	InForce int64  `json:"in_force"`
+	Newest  int64  `json:"newest"`
+	Deleted bool   `json:"deleted"`
+}
+
+// Dump returns the manager's state.
+func (m *Manager) Dump() Dump {
+	list, _ := m.listSnapshot()
+	contact, isolated := m.Isolated()
+	flags := m.flags()
+	dump := Dump{
+		Self: m.Self(), Collecting: m.collector.running(), Collector: m.member.attachedTo().ID,
+		Members: m.current.Load().ids, Leaving: flags.Leaving, Silent: flags.Silent,
+		ListRevision: list.Revision, AsOf: m.documents.completeTo(), Documents: m.documents.dump(),
+		Contact: contact, Isolated: isolated, Counters: m.Counters(),
+	}
+	dump.Attendees, dump.Peers = m.collector.dump()
+	return dump
+}
+
+// dump returns the members that attend and the collectors heard lately.
+func (c *collector) dump() (attendees, peers []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	attendees = slices.Sorted(maps.Keys(c.attendees))
+	for id, p := range c.peers {
+		if c.fresh(p) {
+			peers = append(peers, id)
+		}
+	}
+	slices.Sort(peers)
+	return attendees, peers
+}
+
+func (d *documentSet) dump() []DocumentDump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dump := []DocumentDump{}
+	for _, service := range slices.Sorted(maps.Keys(d.entries)) {
+		e := d.entries[service]
+		dump = append(dump, DocumentDump{
+			Service: service, InForce: e.inForce.Version, Newest: e.newest.Version, Deleted: e.newest.Deleted,
+		})
+	}
+	return dump
+}
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
@@ -69,11 +70,17 @@
 	log    *event.Logger
 
 	documents *documentSet
-	contact   atomic.Int64 // ns since the Unix epoch: last answer of the platform or a peer
+	collector *collector
+	member    *attendance
+	counts    counters
+	wake      chan struct{} // holds one value when roles must be placed again
+	pulls     chan string   // peer addresses that hold something newer
+	contact   atomic.Int64  // ns since the Unix epoch: last answer of the platform or a peer
 	current   atomic.Pointer[view]
 
-	mu     sync.Mutex
-	roster roster
+	mu      sync.Mutex
+	roster  roster
+	changed chan struct{} // closed at the next change of the roster
 }
 
 // NewManager returns a Manager that knows nothing but itself until Run.
@@ -82,36 +89,25 @@
 	m := &Manager{
 		config: config, store: store, list: list, conns: conns, log: log,
 		documents: newDocumentSet(config.Parse, log),
+		wake:      make(chan struct{}, 1),
+		pulls:     make(chan string, waitingPulls),
+		changed:   make(chan struct{}),
 		roster: roster{
 			self:       config.Self,
 			subsetSize: config.SubsetSize,
-			leaving:    map[string]time.Time{},
-			silent:     map[string]bool{},
+			marks:      map[string]time.Time{},
 		},
 	}
+	m.collector = newCollector(m)
+	m.member = newAttendance(m)
 	m.contact.Store(config.Now().UnixNano())
 	m.current.Store(m.roster.build())
 	return m
 }
 
 // Register adds the package's drpc services to mux.
-func (m *Manager) Register(mux drpc.Mux) error { return nil }
-
-// Run keeps the view current until ctx ends.
-func (m *Manager) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		m.readPlatform(ctx)
-		wait(ctx, jitter(m.config.ReportInterval))
-	}
-	return nil
-}
-
-// Drain marks this daemon as leaving and hands its roles over.
-func (m *Manager) Drain(ctx context.Context) {
-	m.update(func(r *roster) bool {
-		r.drained = true
-		return true
-	})
+func (m *Manager) Register(mux drpc.Mux) error {
+	return fleetpb.DRPCRegisterFleet(mux, &service{manager: m})
 }
 
 // Ready reports whether documents and the instance list are known.
@@ -125,9 +121,28 @@
 func (m *Manager) update(change func(*roster) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if change(&m.roster) {
-		m.current.Store(m.roster.build())
+	if !change(&m.roster) {
+		return
 	}
+	m.current.Store(m.roster.build())
+	close(m.changed)
+	m.changed = make(chan struct{})
+	m.placeAgain()
+}
+
+// placeAgain asks Run to place the roles again.
+func (m *Manager) placeAgain() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// rosterChanged returns a channel that is closed at the next change of the roster.
+func (m *Manager) rosterChanged() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
 }
 
 // touch records that the platform or a peer answered.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -15,7 +15,8 @@
 	everyone []Member // all regions, Self included, leaving and silent ones too
 	members  []Member // live members of the own region
 	byID     map[string]Member
-	ids      []string // of members
+	ids      []string        // of members
+	silent   map[string]bool // daemons that no collector hears
 	replicas map[string][]Replica
 	subsets  map[string][]Replica
 }
@@ -27,17 +28,25 @@
 
 	list    platform.InstanceSnapshot
 	known   bool                 // a list was received
-	leaving map[string]time.Time // by instance: when a leaving mark was last reported
+	marks   map[string]time.Time // leaving instances: when one was last observed
+	pushed  map[string]bool      // leaving instances that the collector told
 	silent  map[string]bool      // daemons that no collector hears
 	drained bool                 // Self takes no new work
 }
 
+// isLeaving reports whether an instance was observed leaving.
+func (r *roster) isLeaving(id string) bool {
+	_, marked := r.marks[id]
+	return marked || r.pushed[id]
+}
+
 // build returns the view of the roster's state.
 func (r *roster) build() *view {
 	v := &view{
 		byID:     map[string]Member{},
 		replicas: map[string][]Replica{},
 		subsets:  map[string][]Replica{},
+		silent:   r.silent,
 	}
 	for _, instance := range r.list.Instances {
 		r.place(v, instance)
@@ -62,8 +71,7 @@
 }
 
 func (r *roster) place(v *view, instance platform.Instance) {
-	_, marked := r.leaving[instance.ID]
-	leaving := marked || instance.State == platform.Leaving
+	leaving := r.isLeaving(instance.ID) || instance.State == platform.Leaving
 	if instance.Pool == platform.DaemonPool {
 		if instance.ID != r.self.ID {
 			v.everyone = append(v.everyone, memberOf(instance, leaving))
