peer: contract tests with a silent TCP proxy

Cause: the pool's promises (fresh connection after silence, typed errors, not run only without a connection) had no test. Change: standin/silentproxy forwards connections that can go silent for good; fault table and focused tests of Pool and Server. Shown failing without its mechanism: idle connections left open after a stall: 'call answered "", connection to 127.0.0.1:34575 was silent'; no watchdog: the stream test ends only with its own 20 s limit.

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,279 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/silentproxy"
+)
+
+const (
+	testTimeout  = 20 * time.Second
+	testProgress = 300 * time.Millisecond
+)
+
+// text is the message of the test service; textEncoding its codec.
+type text struct{ value string }
+
+type textEncoding struct{}
+
+func (textEncoding) Marshal(msg drpc.Message) ([]byte, error) { return []byte(msg.(*text).value), nil }
+
+func (textEncoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	msg.(*text).value = string(buf)
+	return nil
+}
+
+// echo is a hand-written drpc service.
+type echo struct{}
+
+// Call answers its input unless that says otherwise.
+func (e *echo) Call(ctx context.Context, in *text) (*text, error) {
+	switch in.value {
+	case "refuse":
+		return nil, fault.New(fault.Fenced, "an older lease", "ask the newer holder",
+			fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
+	case "slow":
+		select {
+		case <-time.After(3 * testProgress):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return in, nil
+}
+
+// NumMethods implements drpc.Description.
+func (e *echo) NumMethods() int { return 2 }
+
+// Method implements drpc.Description.
+func (e *echo) Method(n int) (string, drpc.Encoding, drpc.Receiver, interface{}, bool) {
+	switch n {
+	case 0:
+		return "/echo/Call", textEncoding{}, func(srv interface{}, ctx context.Context, in1, _ interface{}) (drpc.Message, error) {
+			return srv.(*echo).Call(ctx, in1.(*text))
+		}, (*echo).Call, true
+	case 1:
+		return "/echo/Stream", textEncoding{}, func(srv interface{}, _ context.Context, in1, _ interface{}) (drpc.Message, error) {
+			return nil, srv.(*echo).Stream(in1.(drpc.Stream))
+		}, (*echo).Stream, true
+	}
+	return "", nil, nil, nil, false
+}
+
+// Stream answers each message until the client closes.
+func (e *echo) Stream(stream drpc.Stream) error {
+	for {
+		in := &text{}
+		if err := stream.MsgRecv(in, textEncoding{}); err != nil {
+			return nil
+		}
+		if err := stream.MsgSend(in, textEncoding{}); err != nil {
+			return err
+		}
+	}
+}
+
+// fixture is a server behind a proxy and a pool that calls it.
+type fixture struct {
+	echo  *echo
+	proxy *silentproxy.Proxy
+	pool  *Pool
+	stop  context.CancelFunc
+}
+
+func newFixture(t *testing.T) *fixture {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy, err := silentproxy.New(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{echo: &echo{}, proxy: proxy, pool: NewPool(Config{Progress: testProgress}, nil)}
+	server := NewServer(nil)
+	if err := server.Mux().Register(f.echo, f.echo); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		f.pool.Close()
+		cancel()
+		if err := <-served; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+		proxy.Close()
+	})
+	return f
+}
+
+func (f *fixture) call(ctx context.Context, value string) (string, error) {
+	conn, err := f.pool.Conn(ctx, f.proxy.Address())
+	if err != nil {
+		return "", err
+	}
+	out := &text{}
+	err = conn.Invoke(ctx, "/echo/Call", textEncoding{}, &text{value: value}, out)
+	return out.value, err
+}
+
+func (f *fixture) mustCall(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if got, err := f.call(ctx, "hello"); err != nil || got != "hello" {
+		t.Fatalf("call answered %q, %v", got, err)
+	}
+}
+
+func TestCallFaults(t *testing.T) {
+	table := []struct {
+		name    string
+		prepare func(f *fixture) context.Context
+		value   string
+		kind    fault.Kind
+		outcome fault.Outcome
+	}{
+		{"the handler's error keeps kind and outcome", nil, "refuse", fault.Fenced, fault.NotRun},
+		{"a refused connection is not run", func(f *fixture) context.Context {
+			f.proxy.Close()
+			return context.Background()
+		}, "hello", fault.Unavailable, fault.NotRun},
+		{"a connection lost while the call runs is unknown", func(f *fixture) context.Context {
+			time.AfterFunc(testProgress/4, f.stop)
+			return context.Background()
+		}, "slow", fault.Unavailable, fault.Unknown},
+		{"an answer slower than the progress deadline is unknown", nil, "slow", fault.Unavailable, fault.Unknown},
+		{"a caller that goes away gets its own error", func(*fixture) context.Context {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(testProgress/4, cancel)
+			return ctx
+		}, "slow", fault.Canceled, fault.Unknown},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFixture(t)
+			ctx := context.Background()
+			if row.prepare != nil {
+				ctx = row.prepare(f)
+			}
+			_, err := f.call(ctx, row.value)
+			if fault.KindOf(err) != row.kind || fault.OutcomeOf(err) != row.outcome {
+				t.Errorf("error %v has kind %q and outcome %q, want %q and %q", err, fault.KindOf(err), fault.OutcomeOf(err), row.kind, row.outcome)
+			}
+		})
+	}
+}
+
+func TestRemoteErrorKeepsMessageRemedyAndWait(t *testing.T) {
+	f := newFixture(t)
+	_, err := f.call(context.Background(), "refuse")
+	if err.Error() != "an older lease; ask the newer holder" || fault.RemedyOf(err) != "ask the newer holder" || fault.RetryAfterOf(err) != time.Second {
+		t.Errorf("error %q, remedy %q, wait %v", err, fault.RemedyOf(err), fault.RetryAfterOf(err))
+	}
+	f.mustCall(t)
+	if got := f.proxy.Accepted(); got != 1 {
+		t.Errorf("%d connections, want 1: an error of the handler leaves the connection usable", got)
+	}
+}
+
+func TestIdleConnectionIsUsedAgain(t *testing.T) {
+	f := newFixture(t)
+	for range 5 {
+		f.mustCall(t)
+	}
+	if got := f.proxy.Accepted(); got != 1 {
+		t.Errorf("%d connections for calls one after the other, want 1", got)
+	}
+}
+
+func TestSilentConnectionsAreLeftForAFreshOne(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan error)
+	for range idleConnections {
+		go func() {
+			_, err := f.call(WithProgress(context.Background(), testTimeout), "slow")
+			release <- err
+		}()
+	}
+	for range idleConnections {
+		if err := <-release; err != nil {
+			t.Fatalf("a call with a longer progress deadline: %v", err)
+		}
+	}
+	f.proxy.Silence()
+	started := time.Now()
+	_, err := f.call(context.Background(), "hello")
+	if !fault.Is(err, fault.Unavailable) || fault.OutcomeOf(err) != fault.Unknown {
+		t.Fatalf("call on a silent connection: %v", err)
+	}
+	if took := time.Since(started); took < testProgress {
+		t.Errorf("gave up after %v, before the progress deadline", took)
+	}
+	f.mustCall(t)
+	if got := f.pool.Counters().Stalls; got != 1 {
+		t.Errorf("%d stalls, want 1: the other idle connections are closed with the first", got)
+	}
+}
+
+func TestSilentConnectionIsLeftWhenTheCallersDeadlineComesFirst(t *testing.T) {
+	f := newFixture(t)
+	f.mustCall(t)
+	f.proxy.Silence()
+	ctx, cancel := context.WithTimeout(context.Background(), testProgress/3)
+	defer cancel()
+	if _, err := f.call(ctx, "hello"); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	f.mustCall(t)
+}
+
+func TestSilentStreamEnds(t *testing.T) {
+	f := newFixture(t)
+	conn, err := f.pool.Conn(context.Background(), f.proxy.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	stream, err := conn.NewStream(ctx, "/echo/Stream", textEncoding{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		if err := stream.MsgSend(&text{value: "a"}, textEncoding{}); err != nil {
+			t.Fatal(err)
+		}
+		if err := stream.MsgRecv(&text{}, textEncoding{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(testProgress / 2)
+	}
+	f.proxy.Silence()
+	err = stream.MsgRecv(&text{}, textEncoding{})
+	if !fault.Is(err, fault.Unavailable) || errors.Is(err, io.EOF) {
+		t.Errorf("silent stream ended with %v, want unavailable", err)
+	}
+	f.mustCall(t)
+}
+
+func TestClosedPoolRefusesAsNotRun(t *testing.T) {
+	f := newFixture(t)
+	f.mustCall(t)
+	f.pool.Close()
+	_, err := f.call(context.Background(), "hello")
+	if !fault.Is(err, fault.Draining) || fault.OutcomeOf(err) != fault.NotRun {
+		t.Errorf("call on a closed pool: %v, outcome %q", err, fault.OutcomeOf(err))
+	}
+}
--- /dev/null
+++ b/standin/silentproxy/proxy.go
@@ -0,0 +1,128 @@
+// Package silentproxy is a TCP proxy whose open connections can go silent for good
+// while new ones work, as when something between two ends has lost track of them.
+package silentproxy
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// Proxy forwards connections to one target.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu       sync.Mutex
+	silent   chan struct{} // closed: connections opened before carry nothing more
+	open     map[net.Conn]bool
+	accepted int
+	closed   bool
+}
+
+// New starts a proxy to target on a free loopback port.
+func New(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, silent: make(chan struct{}), open: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Accepted returns how many connections were opened so far.
+func (p *Proxy) Accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
+// Silence makes the open connections silent for good. They are not closed, and what
+// is written to them is taken and lost.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.silent)
+	p.silent = make(chan struct{})
+}
+
+// Close closes the listener and all connections.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	_ = p.listener.Close()
+	for conn := range p.open {
+		_ = conn.Close()
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *Proxy) serve(near net.Conn) {
+	far, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	silent, ok := p.track(near, far)
+	if !ok {
+		return
+	}
+	var group sync.WaitGroup
+	group.Go(func() { forward(far, near, silent) })
+	group.Go(func() { forward(near, far, silent) })
+	group.Wait()
+}
+
+func (p *Proxy) track(conns ...net.Conn) (<-chan struct{}, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted++
+	for _, conn := range conns {
+		if p.closed {
+			_ = conn.Close()
+		}
+		p.open[conn] = true
+	}
+	return p.silent, !p.closed
+}
+
+// forward copies until an end closes. Once silent is closed it reads on and drops
+// what it reads, and the close of one end no longer reaches the other.
+func forward(to, from net.Conn, silent <-chan struct{}) {
+	_, _ = io.Copy(&gate{to: to, silent: silent}, from)
+	select {
+	case <-silent:
+	default:
+		_ = to.Close()
+	}
+}
+
+// gate writes to a connection until silent is closed.
+type gate struct {
+	to     net.Conn
+	silent <-chan struct{}
+}
+
+// Write implements io.Writer.
+func (g *gate) Write(b []byte) (int, error) {
+	select {
+	case <-g.silent:
+		return len(b), nil
+	default:
+		return g.to.Write(b)
+	}
+}
