peer: a silent stream must end before its caller's deadline

Change: the test checks that the deadline had not passed. Shown failing without the watchdog: 'silent stream ended by the caller's deadline only'. Conclusion: passes with it.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -265,6 +265,9 @@
 	if !fault.Is(err, fault.Unavailable) || errors.Is(err, io.EOF) {
 		t.Errorf("silent stream ended with %v, want unavailable", err)
 	}
+	if ctx.Err() != nil {
+		t.Error("silent stream ended by the caller's deadline only")
+	}
 	f.mustCall(t)
 }
 
