--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -117,11 +117,13 @@
 		return Settings{}, err
 	}
 	var s Settings
-	none := func(*inifile.Section) (bool, error) { return false, nil }
-	if err := inifile.ApplyAll(file, SettingsSections(), &s, none); err != nil {
+	if err := inifile.ApplyAll(file, SettingsSections(), &s); err != nil {
 		return Settings{}, err
 	}
-	return s, s.checkDataFolder(file)
+	if err := s.checkDataFolder(file); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
 }
 
 func (s *Settings) checkDataFolder(file *inifile.File) error {
--- a/document/inifile/schema.go
+++ b/document/inifile/schema.go
@@ -110,58 +110,48 @@
 	b.WriteString("\n")
 }
 
-// ApplyAll applies a table of sections that occur at most once. rest takes the
-// sections that the table does not have; it returns false for an unknown one.
-func ApplyAll[T any](file *File, table []SectionSchema[T], target *T, rest func(*Section) (known bool, err error)) error {
-	if err := checkSections(file, table, rest); err != nil {
-		return err
-	}
-	for i := range table {
-		if err := table[i].Apply(file, find(file, table[i].Name), target); err != nil {
-			return err
-		}
-	}
-	return nil
+// Repeated takes the sections of one name that may occur more than once.
+type Repeated struct {
+	Name  string
+	Apply func(section *Section) error
 }
 
-func checkSections[T any](file *File, table []SectionSchema[T], rest func(*Section) (bool, error)) error {
+// ApplyAll applies a table of sections that occur at most once, and the repeated ones.
+func ApplyAll[T any](file *File, table []SectionSchema[T], target *T, repeated ...Repeated) error {
 	for i := range file.Sections {
-		section := &file.Sections[i]
-		if inTable(table, section) {
-			continue
-		}
-		known, err := rest(section)
-		if err != nil {
+		if err := applyRepeated(file, &file.Sections[i], table, repeated); err != nil {
 			return err
 		}
-		if !known {
-			remedy := "see the documentation for the sections that exist: " + sectionNames(table)
-			return Errorf(fault.Unrecognized, file.Name, section.Line, remedy, "unknown section [%s]", section.title())
+	}
+	for i := range table {
+		if err := table[i].Apply(file, find(file, table[i].Name), target); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func inTable[T any](table []SectionSchema[T], section *Section) bool {
+func applyRepeated[T any](file *File, section *Section, table []SectionSchema[T], repeated []Repeated) error {
+	var names []string
 	for i := range table {
 		if table[i].Name == section.Name && section.Argument == "" {
-			return true
+			return nil
 		}
-	}
-	return false
-}
-
-func sectionNames[T any](table []SectionSchema[T]) string {
-	names := make([]string, 0, len(table))
-	for i := range table {
 		names = append(names, table[i].Name)
 	}
-	return strings.Join(names, ", ")
+	for _, r := range repeated {
+		if r.Name == section.Name {
+			return r.Apply(section)
+		}
+		names = append(names, r.Name)
+	}
+	remedy := "use one of: " + strings.Join(names, ", ")
+	return Errorf(fault.Unrecognized, file.Name, section.Line, remedy, "unknown section [%s]", section.title())
 }
 
 func find(file *File, name string) *Section {
 	for i := range file.Sections {
-		if file.Sections[i].Name == name {
+		if file.Sections[i].Name == name && file.Sections[i].Argument == "" {
 			return &file.Sections[i]
 		}
 	}
--- a/document/parse.go
+++ b/document/parse.go
@@ -18,29 +18,29 @@
 		return nil, err
 	}
 	d := &Document{}
-	err = inifile.ApplyAll(file, Sections(), d, func(section *inifile.Section) (bool, error) {
+	teams := inifile.Repeated{Name: TeamSection, Apply: func(section *inifile.Section) error {
 		return d.parseTeam(file, section)
-	})
-	if err != nil {
+	}}
+	if err := inifile.ApplyAll(file, Sections(), d, teams); err != nil {
+		return nil, err
+	}
+	if err := d.checkKind(file); err != nil {
 		return nil, err
 	}
 	sort.Slice(d.Teams, func(i, j int) bool { return d.Teams[i].Team < d.Teams[j].Team })
-	return d, d.checkKind(file)
+	return d, nil
 }
 
-func (d *Document) parseTeam(file *inifile.File, section *inifile.Section) (known bool, err error) {
-	if section.Name != TeamSection {
-		return false, nil
-	}
+func (d *Document) parseTeam(file *inifile.File, section *inifile.Section) error {
 	if !inifile.NamePattern.MatchString(section.Argument) {
-		return true, inifile.Errorf(fault.Invalid, file.Name, section.Line, `write it as [team "name"]`, "%q is not a team's name", section.Argument)
+		return inifile.Errorf(fault.Invalid, file.Name, section.Line, `write it as [team "name"]`, "%q is not a team's name", section.Argument)
 	}
 	schema, share := Team(), TeamShare{Team: section.Argument}
 	if err := schema.Apply(file, section, &share); err != nil {
-		return true, err
+		return err
 	}
 	d.Teams = append(d.Teams, share)
-	return true, nil
+	return nil
 }
 
 // checkKind refuses samples of plain services and clears their defaults.
