cmd, daemon: check, alarms, dump, version; alarms of the region

Cause: operators need to see from any daemon what is broken and what a daemon holds. Change: check finds faults without starting; status and alarms ask every member for its alarms and name those that did not answer; dump prints each module's state; metrics carry each module's counters.

--- a/cmd/hornbeamtide/options.go
+++ b/cmd/hornbeamtide/options.go
@@ -73,9 +73,13 @@
 	r := remote{app: a}
 	return []commandEntry{
 		{"serve", "Run a daemon", "Runs a daemon until SIGTERM or SIGINT, then drains it. A second signal ends it at once.", &serveCommand{app: a}},
+		{"check", "Check files", "Checks settings and documents without starting anything.", &checkCommand{app: a}},
 		{"apply", "Change a document", "Writes a document if nobody changed it since it was read.", &applyCommand{remote: r}},
 		{"get", "Print a document", "Prints a service's document with its version in the first line, or lists all documents.", &getCommand{remote: r}},
 		{"status", "Show what is in force", "Shows daemons, where each document is in force, and alarms.", &statusCommand{remote: r}},
+		{"alarms", "Show alarms", "Shows the raised alarms of all daemons with evidence and remedy.", &alarmsCommand{remote: r}},
+		{"dump", "Show a daemon's state", "Prints the state of every module of one daemon as JSON.", &dumpCommand{remote: r}},
+		{"version", "Show the version", "Shows the version of this program.", &versionCommand{app: a}},
 	}
 }
 
--- a/cmd/hornbeamtide/status.go
+++ b/cmd/hornbeamtide/status.go
@@ -1,14 +1,16 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/daemon"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 )
 
@@ -32,7 +34,7 @@
 		return err
 	}
 	fmt.Fprintln(c.stdout)
-	printAlarms(c.stdout, status.Alarms)
+	printAlarms(c.stdout, status.RegionalAlarms)
 	return nil
 }
 
@@ -56,16 +58,79 @@
 	return strings.Join(parts, ", ")
 }
 
-func printAlarms(w io.Writer, alarms []alarm.Alarm) {
-	if len(alarms) == 0 {
+func printAlarms(w io.Writer, all daemon.RegionalAlarms) {
+	if len(all.Unanswered) > 0 {
+		fmt.Fprintf(w, "no answer about alarms from: %s\n", strings.Join(all.Unanswered, ", "))
+	}
+	if len(all.Alarms) == 0 {
 		fmt.Fprintln(w, "no alarms")
 		return
 	}
-	for _, a := range alarms {
-		fmt.Fprintf(w, "ALARM %s %s since %s, %d times\n", a.Promise, a.Service, a.Since.UTC().Format(time.DateTime), a.Count)
+	for _, a := range all.Alarms {
+		fmt.Fprintf(w, "ALARM %s on %s, service %s, since %s, %d times\n",
+			a.Promise, a.Daemon, dash(a.Service), a.Since.UTC().Format(time.DateTime), a.Count)
 		for _, e := range a.Evidence {
-			fmt.Fprintf(w, "  %s %s: %s\n", e.At.UTC().Format(time.TimeOnly), e.Subject, e.Detail)
+			fmt.Fprintf(w, "  %s %s: %s\n", e.At.UTC().Format(time.TimeOnly), dash(e.Subject), e.Detail)
 		}
 		fmt.Fprintf(w, "  remedy: %s\n", a.Remedy)
 	}
 }
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+type alarmsCommand struct {
+	remote
+	output
+}
+
+// Execute implements flags.Commander.
+func (c *alarmsCommand) Execute([]string) error {
+	var all daemon.RegionalAlarms
+	if err := c.getJSON("/v1/alarms?scope=region", &all); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(all)
+	}
+	printAlarms(c.stdout, all)
+	return nil
+}
+
+type dumpCommand struct {
+	remote
+	Module string `long:"module" value-name:"NAME" description:"print the state of this module only"`
+}
+
+// Execute implements flags.Commander.
+func (c *dumpCommand) Execute([]string) error {
+	var dump struct {
+		Modules []struct {
+			Module string          `json:"module"`
+			State  json.RawMessage `json:"state"`
+		} `json:"modules"`
+	}
+	got, err := c.call(http.MethodGet, "/v1/dump", "", nil)
+	if err != nil {
+		return err
+	}
+	if c.Module == "" {
+		_, err = c.stdout.Write(got.body)
+		return err
+	}
+	if err := json.Unmarshal(got.body, &dump); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "the answer is not JSON", "use the same version for daemon and tool")
+	}
+	names := make([]string, 0, len(dump.Modules))
+	for _, module := range dump.Modules {
+		if module.Module == c.Module {
+			return c.printJSON(module.State)
+		}
+		names = append(names, module.Module)
+	}
+	return fault.New(fault.Invalid, "no module "+c.Module, "use one of: "+strings.Join(names, ", "))
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,7 @@
 		Run(ctx context.Context) error
 	}
 	drainer interface{ Drain(ctx context.Context) }
+	refuser interface{ Drain() } // refuses its queue from now on
 )
 
 // named is a module with the name under which it appears in the dump and metrics.
@@ -88,6 +89,7 @@
 	return []named{
 		{"platform", m.Client},
 		{"peer", m.Conns},
+		{"peer_server", m.Server},
 		{"fleet", m.Fleet},
 		{"backend", m.Backends},
 		{"routing", m.Routing},
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -22,8 +22,11 @@
 	defer cancel()
 	var handover sync.WaitGroup
 	for _, part := range d.parts() {
-		if module, ok := part.module.(drainer); ok {
+		switch module := part.module.(type) {
+		case drainer:
 			handover.Go(func() { module.Drain(limited) })
+		case refuser:
+			module.Drain()
 		}
 	}
 	handover.Wait()
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -6,6 +6,11 @@
 	"net/http"
 	"runtime"
 	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
 // Dump answers GET /v1/dump.
@@ -25,8 +30,43 @@
 	State  any    `json:"state"`
 }
 
+// dumper is a module whose state has no type of its own.
 type dumper interface{ Dump() any }
 
+// stateOf returns the state of a module, nil if it has none.
+func stateOf(module any) any {
+	switch m := module.(type) {
+	case *platform.Client:
+		return m.Dump()
+	case *peer.Pool:
+		return m.Dump()
+	case *dispatch.Manager:
+		return m.Dump()
+	case dumper:
+		return m.Dump()
+	}
+	return nil
+}
+
+// countersOf returns the counters of a module, nil if it has none.
+func countersOf(module any) any {
+	switch m := module.(type) {
+	case *platform.Client:
+		return m.Calls()
+	case *peer.Pool:
+		return m.Counters()
+	case *peer.Server:
+		return m.Counters()
+	case *dispatch.Manager:
+		return m.Counters()
+	case *alarm.Manager:
+		return m.Counters()
+	case interface{ Counters() map[string]int64 }:
+		return m.Counters()
+	}
+	return nil
+}
+
 // Dump returns the state of every module.
 func (d *Daemon) Dump() Dump {
 	state, progress := d.gate.current()
@@ -39,8 +79,8 @@
 		Settings:   d.settings,
 	}
 	for _, part := range d.parts() {
-		if module, ok := part.module.(dumper); ok {
-			dump.Modules = append(dump.Modules, ModuleState{part.name, module.Dump()})
+		if state := stateOf(part.module); state != nil {
+			dump.Modules = append(dump.Modules, ModuleState{part.name, state})
 		}
 	}
 	return dump
@@ -63,7 +103,11 @@
 func (d *Daemon) metrics() http.Handler {
 	vars := new(expvar.Map).Init()
 	vars.Set("process", expvar.Func(func() any { return d.process() }))
-	vars.Set("alarm", expvar.Func(func() any { return d.modules.Alarms.Counters() }))
+	for _, part := range d.parts() {
+		if countersOf(part.module) != nil {
+			vars.Set(part.name, expvar.Func(func() any { return countersOf(part.module) }))
+		}
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(w, vars.String())
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 )
@@ -16,7 +15,7 @@
 	InProgress int                   `json:"in_progress"` // requests
 	Documents  []fleet.ServiceStatus `json:"documents"`
 	Members    []MemberStatus        `json:"members"`
-	Alarms     []alarm.Alarm         `json:"alarms"`
+	RegionalAlarms
 }
 
 // MemberStatus is one live daemon of the region.
@@ -38,12 +37,12 @@
 	state, progress := d.gate.current()
 	documents, err := d.modules.Admin.Status(r.Context())
 	return Status{
-		Daemon:     d.settings.Daemon.ID,
-		State:      state,
-		InProgress: progress,
-		Documents:  documents,
-		Members:    d.members(),
-		Alarms:     d.modules.Alarms.Raised(),
+		Daemon:         d.settings.Daemon.ID,
+		State:          state,
+		InProgress:     progress,
+		Documents:      documents,
+		Members:        d.members(),
+		RegionalAlarms: d.regionalAlarms(r.Context()),
 	}, err
 }
 
@@ -65,8 +64,14 @@
 	writeJSON(w, http.StatusOK, status)
 }
 
-func (d *Daemon) getAlarms(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, d.modules.Alarms.Raised())
+// getAlarms answers with the alarms of this daemon, or of the region's daemons with
+// the query ?scope=region.
+func (d *Daemon) getAlarms(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("scope") == "region" {
+		writeJSON(w, http.StatusOK, d.regionalAlarms(r.Context()))
+		return
+	}
+	writeJSON(w, http.StatusOK, d.ownAlarms())
 }
 
 func (d *Daemon) getHealth(w http.ResponseWriter, _ *http.Request) {
@@ -89,19 +94,9 @@
 
 func (d *Daemon) health() Health {
 	state, _ := d.gate.current()
-	health := Health{State: state, Ready: d.ready()}
+	health := Health{State: state, Ready: d.modules.Fleet.Ready()}
 	if since, isolated := d.modules.View.Isolated(); isolated {
 		health.Since = since.UTC().Format(time.RFC3339)
 	}
 	return health
 }
-
-// readiness is implemented by a fleet that tells when it knows documents and instances.
-type readiness interface{ Ready() bool }
-
-func (d *Daemon) ready() bool {
-	if fleet, ok := any(d.modules.Fleet).(readiness); ok {
-		return fleet.Ready()
-	}
-	return len(d.modules.Documents.All()) > 0
-}
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -115,7 +115,9 @@
 		provideAs[backend.Client](new(backend.Dialer)),
 		provide(routing.NewStore),
 		provideAs[routing.Store](new(routing.Picker), new(weights.ReplicaGate)),
-		provide(func(log *event.Logger) *admission.Controller { return admission.NewController(log) }),
+		provide(func(log *event.Logger, view fleet.View) *admission.Controller {
+			return admission.NewController(log, admission.WithView(view))
+		}),
 		provideAs[admission.Controller](new(admission.Admitter)),
 		provide(claims.NewManager),
 		provideAs[claims.Manager](new(claims.Claimer)),
