daemon: tests over real HTTP with fakes: bind, pass-through, isolation, dump

Cause: the wiring must be shown to work as a whole. Change: a harness of one region in one process (platform, weight store, engines and plain servers as fakes) and four tests. Conclusion: a taken port leaves nothing open and calls no platform; an isolated daemon refuses as not run and recovers without an alarm.

--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+)
+
+func TestPortInUseIsRefusedAndNothingStaysOpen(t *testing.T) {
+	s := newSystem(t, 0)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	settings := s.settings(1)
+	settings.Daemon.HTTPAddress = unusedAddress(t)
+	settings.Daemon.PeerAddress = taken.Addr().String()
+	_, err = New(settings, io.Discard)
+	if !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "daemon.peer_address") || fault.RemedyOf(err) == "" {
+		t.Errorf("error %v", err)
+	}
+	if again, err := net.Listen("tcp", settings.Daemon.HTTPAddress); err != nil {
+		t.Errorf("the other listener stayed open: %v", err)
+	} else {
+		again.Close()
+	}
+	if calls := s.fake.Calls(); calls != (fakeplatform.Calls{}) {
+		t.Errorf("the platform was called: %+v", calls)
+	}
+}
+
+func TestRequestsPassThroughTheDaemon(t *testing.T) {
+	s := newSystem(t, time.Millisecond)
+	d := s.start(s.settings(1))
+	s.apply(d, "ledgerdesk")
+	s.apply(d, "draftpool")
+	plain := d.call(http.MethodGet, "/v1/services/ledgerdesk/records/7", "", "X-Request-Id", "r-7")
+	if plain.status != http.StatusOK || plain.header.Get("X-Request-Id") != "r-7" {
+		t.Errorf("plain: %+v", plain)
+	}
+	model := d.call(http.MethodPost, "/v1/services/draftpool/generate", `{"prompt":"a spot","max_tokens":16,"seed":1}`)
+	if model.status != http.StatusOK || !strings.Contains(model.body, `"end":true`) {
+		t.Errorf("model: %+v", model)
+	}
+	if model.header.Get("X-Request-Id") == "" {
+		t.Error("no request id was made")
+	}
+}
+
+func TestIsolatedDaemonRefusesWorkAsNotRunAndRecovers(t *testing.T) {
+	s := newSystem(t, time.Millisecond)
+	d := s.start(s.settings(1))
+	s.apply(d, "ledgerdesk")
+	s.fake.SetFaults(fakeplatform.Faults{Outage: true})
+	waitUntil(t, "health fails", func() bool { return d.call(http.MethodGet, "/health", "").status == http.StatusServiceUnavailable })
+	runs := s.plain.Counts().Runs
+	refused := d.call(http.MethodGet, "/v1/services/ledgerdesk/records/1", "")
+	if body := refused.fault(t); body.Kind != fault.Isolated || body.Outcome != fault.NotRun || body.Remedy == "" {
+		t.Errorf("refusal %+v", body)
+	}
+	if s.plain.Counts().Runs != runs {
+		t.Error("a request said not run was run")
+	}
+	if alarms := d.modules.Alarms.Raised(); len(alarms) != 0 {
+		t.Errorf("alarms for a cause that broke nothing: %+v", alarms)
+	}
+	waitUntil(t, "the log tells it", func() bool { return strings.Contains(d.log.String(), "event=104") })
+	s.fake.SetFaults(fakeplatform.Faults{})
+	waitUntil(t, "health is back", func() bool { return d.call(http.MethodGet, "/health", "").status == http.StatusOK })
+	waitUntil(t, "the log tells that too", func() bool { return strings.Contains(d.log.String(), "event=105") })
+}
+
+func TestDumpAndMetricsShowEveryModule(t *testing.T) {
+	s := newSystem(t, 0)
+	d := s.start(s.settings(1))
+	s.apply(d, "draftpool")
+	var dump Dump
+	if err := json.Unmarshal([]byte(d.call(http.MethodGet, "/v1/dump", "").body), &dump); err != nil {
+		t.Fatal(err)
+	}
+	shown := map[string]bool{}
+	for _, module := range dump.Modules {
+		shown[module.Module] = module.State != nil
+	}
+	for _, name := range []string{"platform", "peer", "dispatch", "weights", "rollout", "alarm"} {
+		if !shown[name] {
+			t.Errorf("module %s is not in the dump", name)
+		}
+	}
+	var vars map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(d.call(http.MethodGet, "/debug/vars", "").body), &vars); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"process", "platform", "peer", "dispatch", "weights", "rollout", "alarm"} {
+		if vars[name] == nil {
+			t.Errorf("no metrics of %s", name)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/harness_test.go
@@ -0,0 +1,228 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplain"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeweights"
+)
+
+// generous is how long a condition may take before a test fails.
+const generous = 20 * time.Second
+
+// testSystem is a region with daemons and fakes in this process.
+type testSystem struct {
+	t       *testing.T
+	fake    *fakeplatform.Server
+	fakeWeb *httptest.Server
+	weights *httptest.Server
+	plain   *fakeplain.Server
+	daemons []*testDaemon
+}
+
+// testDaemon is one running daemon.
+type testDaemon struct {
+	*Daemon
+	stop func()
+	done chan error
+	log  *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// newSystem starts the fakes: a platform, a weight store, two engines of draftpool
+// and two plain servers of ledgerdesk with the given service time.
+func newSystem(t *testing.T, serviceTime time.Duration) *testSystem {
+	t.Helper()
+	s := &testSystem{t: t, fake: fakeplatform.New(fakeplatform.Config{BookmarkInterval: 100 * time.Millisecond})}
+	s.fakeWeb = serve(t, s.fake.Handler())
+	s.weights = serve(t, fakeweights.New(fakeweights.Config{}).Handler())
+	s.plain = fakeplain.New(fakeplain.Config{ID: "desk", ServiceTime: serviceTime})
+	for i := range 2 {
+		engine := fakeengine.New(fakeengine.Config{ID: fmt.Sprintf("e%d", i), Pool: "draftpool", Version: 1, TokenTime: time.Millisecond})
+		t.Cleanup(engine.Close)
+		s.list("draftpool", fmt.Sprintf("e%d", i), serve(t, engine.Handler()))
+	}
+	s.list("ledgerdesk", "desk", serve(t, s.plain.Handler()))
+	return s
+}
+
+func serve(t *testing.T, h http.Handler) *httptest.Server {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server
+}
+
+func host(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+func (s *testSystem) list(pool, id string, server *httptest.Server) {
+	s.fake.SetInstance(platform.Instance{ID: id, Pool: pool, Address: host(server), Region: "pk-south", FailureDomain: "khi-a", State: platform.Live})
+}
+
+// settings returns the settings of the nth daemon with short intervals.
+func (s *testSystem) settings(n int) Settings {
+	text := fmt.Sprintf(`[daemon]
+id = d%d
+http_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+region = pk-south
+failure_domain = khi-a
+drain_time = 20s
+[platform]
+address = %s
+weight_address = %s
+read_rate = 0
+write_rate = 0
+[peers]
+report_interval = 100ms
+list_interval = 100ms
+direct_interval = 100ms
+member_timeout = 2s
+isolation_limit = 2s
+`, n, host(s.fakeWeb), host(s.weights))
+	settings, err := ParseSettings("test.ini", []byte(text))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return settings
+}
+
+// start runs a daemon with the settings and lists it.
+func (s *testSystem) start(settings Settings) *testDaemon {
+	s.t.Helper()
+	log := &lockedBuffer{}
+	d, err := New(settings, log)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.fake.SetInstance(platform.Instance{
+		ID: settings.Daemon.ID, Pool: platform.DaemonPool, Address: d.Address(), PeerAddress: d.PeerAddress(),
+		Region: settings.Daemon.Region, FailureDomain: settings.Daemon.FailureDomain, State: platform.Live,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &testDaemon{Daemon: d, stop: cancel, done: make(chan error, 1), log: log}
+	go func() { running.done <- d.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-running.done:
+		case <-time.After(generous):
+			s.t.Error("daemon did not stop")
+		}
+	})
+	s.daemons = append(s.daemons, running)
+	return running
+}
+
+// apply writes an example document through d and waits until d has it in force.
+func (s *testSystem) apply(d *testDaemon, service string) int64 {
+	s.t.Helper()
+	source, err := os.ReadFile("../examples/documents/" + service + ".ini")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	answer := d.call(http.MethodPut, "/v1/documents/"+service, string(source), "If-Match", "0")
+	if answer.status != http.StatusOK {
+		s.t.Fatalf("apply: %d %s", answer.status, answer.body)
+	}
+	version, err := strconv.ParseInt(answer.header.Get(HeaderVersion), 10, 64)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	waitUntil(s.t, service+" in force and ready", func() bool {
+		held, ok := d.modules.Documents.Document(service)
+		return ok && held.Version >= version && d.modules.Fleet.Ready() && len(d.modules.View.Replicas(service)) > 0
+	})
+	return version
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the connection ended early
+}
+
+// call sends one request; header holds names and values in turn.
+func (d *testDaemon) call(method, path, body string, header ...string) answer {
+	request, err := http.NewRequest(method, "http://"+d.Address()+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	client := http.Client{Timeout: generous, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(content), err}
+}
+
+func (a answer) fault(t *testing.T) fault.Body {
+	t.Helper()
+	var body fault.Body
+	if err := json.Unmarshal([]byte(a.body), &body); err != nil {
+		t.Fatalf("status %d, body %q: %v", a.status, a.body, err)
+	}
+	return body
+}
+
+func waitUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(generous); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", generous, what)
+}
+
+// unusedAddress is an address at which nothing listens.
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
