standin: platform command; the whole path runs as separate processes

Cause: the demo starts the platform as a process and the program had no such command. Change: a platform command over fakeplatform.

--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -11,6 +11,7 @@
 
 func main() {
 	parser := flags.NewParser(nil, flags.Default)
+	addCommand(parser, "platform", "Run the object API and the instance list", &platformCommand{})
 	addCommand(parser, "weights", "Run the weight store", &weightsCommand{})
 	addCommand(parser, "engine", "Run one model engine", &engineCommand{})
 	addCommand(parser, "plain", "Run one plain service", &plainCommand{})
