--- /dev/null
+++ b/cmd/hornbeamtide/status.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/daemon"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
+)
+
+type statusCommand struct {
+	remote
+	output
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	var status daemon.Status
+	if err := c.getJSON("/v1/status", &status); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(status)
+	}
+	fmt.Fprintf(c.stdout, "daemon %s: %s, %d requests in progress, %d daemons live\n\n",
+		status.Daemon, status.State, status.InProgress, len(status.Members))
+	if err := printDocuments(c.stdout, status.Documents); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.stdout)
+	printAlarms(c.stdout, status.RegionalAlarms)
+	return nil
+}
+
+func printDocuments(w io.Writer, documents []fleet.ServiceStatus) error {
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "SERVICE\tVERSION\tIN FORCE\tBEHIND")
+	for _, s := range documents {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\n", s.Service, s.Version, len(s.InForce), describeBehind(s.Behind))
+	}
+	return table.Flush()
+}
+
+func describeBehind(behind []fleet.Behind) string {
+	if len(behind) == 0 {
+		return "none"
+	}
+	parts := make([]string, 0, len(behind))
+	for _, b := range behind {
+		parts = append(parts, fmt.Sprintf("%s at %d since %s", b.Member, b.Version, b.Since.UTC().Format(time.TimeOnly)))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func printAlarms(w io.Writer, all daemon.RegionalAlarms) {
+	if len(all.Unanswered) > 0 {
+		fmt.Fprintf(w, "no answer about alarms from: %s\n", strings.Join(all.Unanswered, ", "))
+	}
+	if len(all.Alarms) == 0 {
+		fmt.Fprintln(w, "no alarms")
+		return
+	}
+	for _, a := range all.Alarms {
+		fmt.Fprintf(w, "ALARM %s on %s, service %s, since %s, %d times\n",
+			a.Promise, a.Daemon, dash(a.Service), a.Since.UTC().Format(time.DateTime), a.Count)
+		for _, e := range a.Evidence {
+			fmt.Fprintf(w, "  %s %s: %s\n", e.At.UTC().Format(time.TimeOnly), dash(e.Subject), e.Detail)
+		}
+		fmt.Fprintf(w, "  remedy: %s\n", a.Remedy)
+	}
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+type alarmsCommand struct {
+	remote
+	output
+}
+
+// Execute implements flags.Commander.
+func (c *alarmsCommand) Execute([]string) error {
+	var all daemon.RegionalAlarms
+	if err := c.getJSON("/v1/alarms?scope=region", &all); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(all)
+	}
+	printAlarms(c.stdout, all)
+	return nil
+}
+
+type dumpCommand struct {
+	remote
+	Module string `long:"module" value-name:"NAME" description:"print the state of this module only"`
+}
+
+// Execute implements flags.Commander.
+func (c *dumpCommand) Execute([]string) error {
+	var dump struct {
+		Modules []struct {
+			Module string          `json:"module"`
+			State  json.RawMessage `json:"state"`
+		} `json:"modules"`
+	}
+	got, err := c.call(http.MethodGet, "/v1/dump", "", nil)
+	if err != nil {
+		return err
+	}
+	if c.Module == "" {
+		_, err = c.stdout.Write(got.body)
+		return err
+	}
+	if err := json.Unmarshal(got.body, &dump); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "the answer is not JSON", "use the same version for daemon and tool")
+	}
+	names := make([]string, 0, len(dump.Modules))
+	for _, module := range dump.Modules {
+		if module.Module == c.Module {
+			return c.printJSON(module.State)
+		}
+		names = append(names, module.Module)
+	}
+	return fault.New(fault.Invalid, "no module "+c.Module, "use one of: "+strings.Join(names, ", "))
+}
--- /dev/null
+++ b/daemon/dump.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"expvar"
+	"io"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// Dump answers GET /v1/dump.
+type Dump struct {
+	Daemon     string        `json:"daemon"`
+	At         time.Time     `json:"at"`
+	Started    time.Time     `json:"started"`
+	State      State         `json:"state"`
+	InProgress int           `json:"in_progress"`
+	Settings   Settings      `json:"settings"`
+	Modules    []ModuleState `json:"modules"`
+}
+
+// ModuleState is the state of one module.
+type ModuleState struct {
+	Module string `json:"module"`
+	State  any    `json:"state"`
+}
+
+// dumper is a module whose state has no type of its own.
+type dumper interface{ Dump() any }
+
+// stateOf returns the state of a module, nil if it has none.
+func stateOf(module any) any {
+	switch m := module.(type) {
+	case *platform.Client:
+		return m.Dump()
+	case *peer.Pool:
+		return m.Dump()
+	case *dispatch.Manager:
+		return m.Dump()
+	case dumper:
+		return m.Dump()
+	}
+	return nil
+}
+
+// countersOf returns the counters of a module, nil if it has none.
+func countersOf(module any) any {
+	switch m := module.(type) {
+	case *platform.Client:
+		return m.Calls()
+	case *peer.Pool:
+		return m.Counters()
+	case *peer.Server:
+		return m.Counters()
+	case *dispatch.Manager:
+		return m.Counters()
+	case *alarm.Manager:
+		return m.Counters()
+	case interface{ Counters() map[string]int64 }:
+		return m.Counters()
+	}
+	return nil
+}
+
+// Dump returns the state of every module.
+func (d *Daemon) Dump() Dump {
+	state, progress := d.gate.current()
+	dump := Dump{
+		Daemon:     d.settings.Daemon.ID,
+		At:         time.Now().UTC(),
+		Started:    d.started.UTC(),
+		State:      state,
+		InProgress: progress,
+		Settings:   d.settings,
+	}
+	for _, part := range d.parts() {
+		if state := stateOf(part.module); state != nil {
+			dump.Modules = append(dump.Modules, ModuleState{part.name, state})
+		}
+	}
+	return dump
+}
+
+func (d *Daemon) getDump(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, d.Dump())
+}
+
+// Process are metrics of the process.
+type Process struct {
+	UptimeSeconds int64  `json:"uptime_seconds"`
+	Goroutines    int    `json:"goroutines"`
+	HeapBytes     uint64 `json:"heap_bytes"`
+	State         State  `json:"state"`
+	InProgress    int    `json:"in_progress"`
+}
+
+// metrics serves the daemon's own expvar map, since several daemons may share a process.
+func (d *Daemon) metrics() http.Handler {
+	vars := new(expvar.Map).Init()
+	vars.Set("process", expvar.Func(func() any { return d.process() }))
+	for _, part := range d.parts() {
+		if countersOf(part.module) != nil {
+			vars.Set(part.name, expvar.Func(func() any { return countersOf(part.module) }))
+		}
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, vars.String())
+	})
+}
+
+func (d *Daemon) process() Process {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	state, progress := d.gate.current()
+	return Process{
+		UptimeSeconds: int64(time.Since(d.started).Seconds()),
+		Goroutines:    runtime.NumGoroutine(),
+		HeapBytes:     memory.HeapAlloc,
+		State:         state,
+		InProgress:    progress,
+	}
+}
--- /dev/null
+++ b/fleet/direct.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// readDirect reads the platform while this daemon neither attends a collector nor is
+// one: at once at the start, later at a jittered interval.
+func (m *Manager) readDirect(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !m.member.attached() && !m.collector.running() {
+			m.counts.directReads.Add(1)
+			m.readPlatform(ctx)
+		}
+		wait(ctx, jitter(m.config.DirectInterval))
+	}
+}
+
+// readPlatform reads list and documents. What the last collector told of instances is
+// dropped once it is old.
+func (m *Manager) readPlatform(ctx context.Context) {
+	if m.readList(ctx) == nil && m.member.lost() {
+		m.applyFlags(&fleetpb.Flags{})
+	}
+	_, _ = m.readDocuments(ctx)
+}
+
+// readList reads the instance list and applies it.
+func (m *Manager) readList(ctx context.Context) error {
+	snapshot, err := m.list.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	m.touch()
+	m.offerList(snapshot)
+	return nil
+}
+
+// offerList applies a list unless it is older than the known one.
+func (m *Manager) offerList(snapshot platform.InstanceSnapshot) {
+	m.update(func(r *roster) bool {
+		if r.known && snapshot.Revision <= r.list.Revision {
+			return false
+		}
+		r.list = snapshot
+		r.known = true
+		return true
+	})
+}
+
+// listSnapshot returns the known list and whether there is one.
+func (m *Manager) listSnapshot() (platform.InstanceSnapshot, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.list, m.roster.known
+}
+
+// readDocuments reads all documents and returns the store revision they are of.
+func (m *Manager) readDocuments(ctx context.Context) (int64, error) {
+	snapshot, err := m.store.List(ctx, documentPrefix)
+	if err != nil {
+		return 0, err
+	}
+	m.touch()
+	now := m.config.Now()
+	names := make([]string, 0, len(snapshot.Objects))
+	revisions := make([]revision, 0, len(snapshot.Objects))
+	for _, object := range snapshot.Objects {
+		r := revisionOf(object, now)
+		names = append(names, r.Service)
+		revisions = append(revisions, r)
+	}
+	m.documents.offerWhole(names, revisions, snapshot.Revision, now)
+	return snapshot.Revision, nil
+}
