--- a/standin/cmd/standin/demo.go
+++ b/standin/cmd/standin/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/hornbeamtide/hornbeamtide/standin/demo"
 )
@@ -31,7 +32,7 @@
 	Examples string `long:"examples" description:"folder with documents and prompts" default:"examples"`
 	Groups   int    `long:"groups" description:"groups of the step" default:"16"`
 	Samples  int    `long:"samples" description:"samples a group" default:"8"`
-	NoFaults bool   `long:"no-faults" description:"kill nothing and keep the weights"`
+	Faults   string `long:"faults" description:"what happens midway, of daemon (killed), weights (swapped), engine (killed)" default:"daemon,weights,engine"`
 	Logs     int    `long:"logs" description:"lines of each log printed on failure" default:"30"`
 }
 
@@ -43,6 +44,6 @@
 	}
 	return demo.Run(context.Background(), demo.Options{
 		Daemon: daemon, Standin: self, Examples: c.Examples, Groups: c.Groups, Samples: c.Samples,
-		Faults: !c.NoFaults, Logs: c.Logs, Out: os.Stdout,
+		Faults: strings.Split(c.Faults, ","), Logs: c.Logs, Out: os.Stdout,
 	})
 }
