standin/combined: separate processes under several faults at once

Cause: no test ran daemons as processes under kills, freezes, platform outages, lost answers, partial swaps and racing operators together. Change: a seeded run that causes six faults in an order and on targets chosen by the seed while a trainer, callers and a reader of document versions count from outside.

--- /dev/null
+++ b/standin/combined/combined.go
@@ -0,0 +1,199 @@
+// Package combined runs separate processes under several faults at once: kills and
+// freezes of daemons, an engine's restart, platform outages and lost answers, weight
+// swaps and operators who race. All counts are taken outside the daemons.
+package combined
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/cluster"
+	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
+)
+
+// Options configure a run.
+type Options struct {
+	Daemon   string // path of the hornbeamtide program
+	Standin  string // path of the standin program
+	Examples string // folder with documents
+	Seed     uint64 // of the order of the faults and their targets
+	Steps    int    // training steps at least, one after the other
+	Out      io.Writer
+}
+
+// Report is what the run counted.
+type Report struct {
+	Faults   []string // in the order in which they were caused
+	Steps    []trainer.Result
+	Requests RequestCounts
+	Races    int      // pairs of operators that applied at the same version
+	Versions int      // document versions that were read from the daemons
+	Broken   []string // broken promises, empty when all held
+}
+
+const (
+	modelService = "draftpool"
+	plainService = "ledgerdesk"
+	region       = "pk-south"
+	bound        = 2 // staleness bound of the model service's document
+	runTimeout   = 150 * time.Second
+	logLines     = 40
+	daemonCount  = 4
+	engineCount  = 4
+	plainCount   = 2
+)
+
+var domains = []string{"khi-a", "khi-b", "hyd-a"}
+
+// run is one run.
+type run struct {
+	options Options
+	random  *rand.Rand // of the fault schedule only
+	cluster *cluster.Cluster
+	daemons []*cluster.Process
+	engines []*cluster.Process
+	plain   []*cluster.Process
+	partial string // replica whose swap fails partway
+	weights *trainerWeights
+	report  Report
+}
+
+// Run runs all processes until the steps are whole and every fault was caused. An
+// error means that the run itself could not go on; broken promises are in the report.
+func Run(ctx context.Context, options Options) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	processes, err := cluster.New(options.Daemon, options.Standin)
+	if err != nil {
+		return Report{}, err
+	}
+	r := &run{
+		options: options, cluster: processes, weights: &trainerWeights{},
+		random: rand.New(rand.NewPCG(options.Seed, 0)),
+	}
+	defer processes.Close(false)
+	err = r.run(ctx)
+	if err != nil || len(r.report.Broken) > 0 {
+		processes.PrintLogs(options.Out, logLines)
+	}
+	return r.report, err
+}
+
+func (r *run) run(ctx context.Context) error {
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	load := startLoad(ctx, r.addresses())
+	recorder := startRecorder(ctx, r.cluster, r.daemons)
+	var faultsErr error
+	faultsEnded := make(chan struct{})
+	go func() {
+		defer close(faultsEnded)
+		faultsErr = r.causeFaults(ctx)
+	}()
+	stepsErr := r.train(ctx, faultsEnded)
+	<-faultsEnded
+	requests := load.stop()
+	versions := recorder.stop()
+	if stepsErr != nil {
+		return fmt.Errorf("training: %w", stepsErr)
+	}
+	if faultsErr != nil {
+		return fmt.Errorf("faults: %w", faultsErr)
+	}
+	r.report.Versions = versions.read
+	r.report.Broken = append(r.report.Broken, versions.reverted...)
+	r.report.Requests = requests.counts
+	return r.checkRequests(ctx, requests)
+}
+
+// start starts all processes and applies the documents.
+func (r *run) start(ctx context.Context) error {
+	if err := r.cluster.StartPlatform(ctx); err != nil {
+		return err
+	}
+	r.weights.set(1)
+	if err := r.cluster.Publish(ctx, modelService, 1); err != nil {
+		return err
+	}
+	if err := r.startServers(ctx); err != nil {
+		return err
+	}
+	for i := range daemonCount {
+		d := cluster.Daemon{ID: fmt.Sprintf("daemon-%d", i+1), Place: place(i)}
+		daemon, err := r.cluster.StartDaemon(ctx, d)
+		if err != nil {
+			return err
+		}
+		r.daemons = append(r.daemons, daemon)
+	}
+	return r.applyDocuments(ctx)
+}
+
+func (r *run) startServers(ctx context.Context) error {
+	for i := range engineCount {
+		arguments := []string{"--version", "1"}
+		if i%2 == 0 {
+			arguments = append(arguments, "--checks-fencing")
+		}
+		engine, err := r.cluster.StartEngine(ctx, fmt.Sprintf("engine-%d", i+1), modelService, place(i), arguments...)
+		if err != nil {
+			return err
+		}
+		r.engines = append(r.engines, engine)
+	}
+	for i := range plainCount {
+		plain, err := r.cluster.StartPlain(ctx, fmt.Sprintf("ledger-%d", i+1), plainService, place(i))
+		if err != nil {
+			return err
+		}
+		r.plain = append(r.plain, plain)
+	}
+	return nil
+}
+
+func place(i int) cluster.Place {
+	return cluster.Place{Region: region, FailureDomain: domains[i%len(domains)]}
+}
+
+func (r *run) applyDocuments(ctx context.Context) error {
+	for _, service := range []string{modelService, plainService} {
+		if err := r.cluster.Apply(ctx, r.daemons[0], r.documentFile(service)); err != nil {
+			return err
+		}
+	}
+	for _, daemon := range r.daemons {
+		err := r.cluster.WaitFor(ctx, daemon.Name+" is ready", func() bool {
+			return r.cluster.Get(ctx, daemon.Address, "/ready", nil) == nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) documentFile(service string) string {
+	return filepath.Join(r.options.Examples, "documents", service+".ini")
+}
+
+func (r *run) document(service string) ([]byte, error) {
+	return os.ReadFile(r.documentFile(service))
+}
+
+func (r *run) addresses() []string {
+	var addresses []string
+	for _, daemon := range r.daemons {
+		addresses = append(addresses, daemon.Address)
+	}
+	return addresses
+}
+
+func (r *run) broken(format string, arguments ...any) {
+	r.report.Broken = append(r.report.Broken, fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/standin/combined/operators.go
@@ -0,0 +1,153 @@
+package combined
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/cluster"
+)
+
+const (
+	recordInterval = 100 * time.Millisecond
+	recordTimeout  = time.Second
+	applyTimeout   = 10 * time.Second
+)
+
+// race lets two operators apply different documents at the same version through two
+// daemons. At most one may be told that its document was accepted.
+func (r *run) race(ctx context.Context, frozen *cluster.Process) error {
+	source, err := r.document(plainService)
+	if err != nil {
+		return err
+	}
+	var through []*cluster.Process
+	for _, daemon := range r.daemons {
+		if daemon != frozen {
+			through = append(through, daemon)
+		}
+	}
+	version, err := r.acceptedVersion(ctx, through[0])
+	if err != nil {
+		return err
+	}
+	var accepted [2]bool
+	var operators sync.WaitGroup
+	for i := range accepted {
+		operators.Go(func() {
+			text := append(bytes.Clone(source), fmt.Sprintf("\n; race %d, operator %d\n", r.report.Races, i)...)
+			accepted[i] = apply(ctx, through[i].Address, text, version)
+		})
+	}
+	operators.Wait()
+	r.report.Races++
+	if accepted[0] && accepted[1] {
+		r.broken("both operators were told that their document was accepted at version %d", version)
+	}
+	return nil
+}
+
+func (r *run) acceptedVersion(ctx context.Context, daemon *cluster.Process) (int64, error) {
+	var documents []documentVersion
+	if err := r.cluster.Get(ctx, daemon.Address, "/v1/documents", &documents); err != nil {
+		return 0, err
+	}
+	for _, d := range documents {
+		if d.Service == plainService {
+			return d.Version, nil
+		}
+	}
+	return 0, fmt.Errorf("%s has no document of %s", daemon.Name, plainService)
+}
+
+func apply(ctx context.Context, address string, source []byte, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	url := "http://" + address + "/v1/documents/" + plainService
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(source))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("If-Match", strconv.FormatInt(version, 10))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode/100 == 2
+}
+
+// documentVersion is one entry of a daemon's document list.
+type documentVersion struct {
+	Service string `json:"service"`
+	Version int64  `json:"version"`
+}
+
+// versions is what a recorder read.
+type versions struct {
+	read     int
+	reverted []string
+}
+
+// recorder reads the document versions in force on each daemon.
+type recorder struct {
+	cluster *cluster.Cluster
+	cancel  context.CancelFunc
+	readers sync.WaitGroup
+
+	mu     sync.Mutex
+	result versions
+}
+
+func startRecorder(ctx context.Context, c *cluster.Cluster, daemons []*cluster.Process) *recorder {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &recorder{cluster: c, cancel: cancel}
+	for _, daemon := range daemons {
+		name, address := daemon.Name, daemon.Address
+		r.readers.Go(func() { r.follow(ctx, name, address) })
+	}
+	return r
+}
+
+func (r *recorder) stop() versions {
+	r.cancel()
+	r.readers.Wait()
+	return r.result
+}
+
+// follow checks that the versions of one daemon never fall, restarts included.
+func (r *recorder) follow(ctx context.Context, name, address string) {
+	highest := map[string]int64{}
+	for pause(ctx, recordInterval) == nil {
+		var documents []documentVersion
+		if r.get(ctx, address, &documents) != nil {
+			continue
+		}
+		for _, d := range documents {
+			r.record(name, d, highest[d.Service])
+			highest[d.Service] = max(highest[d.Service], d.Version)
+		}
+	}
+}
+
+func (r *recorder) get(ctx context.Context, address string, documents *[]documentVersion) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return r.cluster.Get(ctx, address, "/v1/documents", documents)
+}
+
+func (r *recorder) record(name string, d documentVersion, highest int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.read++
+	if d.Version < highest {
+		r.result.reverted = append(r.result.reverted,
+			fmt.Sprintf("%s: document of %s went back from version %d to %d", name, d.Service, highest, d.Version))
+	}
+}
