standin/bench: trainers and callers against real daemons, variants interleaved

Cause: no figure exists for trainer idle time, staleness, tails or waste. Change: two workloads, comparison of variants, slow replica and overload experiments, JSON results and tables by medians and ranges.

--- /dev/null
+++ b/standin/bench/bench.go
@@ -0,0 +1,130 @@
+// Package bench drives real daemons over loopback against stand-ins with believable
+// costs and measures trainer idle time, staleness, latencies and waste for several
+// ways of deciding.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplain"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeweights"
+	"github.com/hornbeamtide/hornbeamtide/standin/local"
+)
+
+// Disturbances are what goes wrong during a run.
+type Disturbances struct {
+	SlowEngine float64 // factor on the decoding times of one engine, 0 for none
+	Crash      bool    // one engine loses its requests and weights midway
+	Outage     bool    // the platform is away for a while midway
+}
+
+// Run is one measured run.
+type Run struct {
+	Workload Workload
+	Variant  Variant
+	Seed     uint64
+	Steps    int // a trainer
+	Examples string
+	Faults   Disturbances
+	Log      io.Writer
+}
+
+// Costs of the engines, scaled as the workloads are.
+const (
+	tokenTime   = 2 * time.Millisecond
+	batchTime   = 150 * time.Microsecond
+	prefillTime = 100 * time.Microsecond
+	maxBatch    = 16
+	cacheTokens = 4096
+	loadTime    = 150 * time.Millisecond
+	runTimeout  = 90 * time.Second
+	settleTime  = 1500 * time.Millisecond // collectors and load polls settle
+)
+
+// Measure starts the system, runs the workload and returns what was measured.
+func (r Run) Measure(ctx context.Context) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	system, err := r.start(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	defer system.Close()
+	if err := pause(ctx, settleTime); err != nil {
+		return Result{}, err
+	}
+	return measure(ctx, r, system)
+}
+
+// start starts the stand-ins and the daemons with both documents in force.
+func (r Run) start(ctx context.Context) (*local.System, error) {
+	system, err := local.New(fakeweights.Config{LoadTime: loadTime, LoadSlots: 4}, r.Log)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.populate(system); err != nil {
+		system.Close()
+		return nil, err
+	}
+	if err := system.WaitReady(ctx); err != nil {
+		system.Close()
+		return nil, err
+	}
+	return system, nil
+}
+
+func (r Run) populate(system *local.System) error {
+	w := r.Workload
+	system.Weights.Publish(w.ModelService, 1)
+	for _, service := range []string{w.ModelService, w.PlainService} {
+		source, err := os.ReadFile(filepath.Join(r.Examples, "documents", service+".ini"))
+		if err != nil {
+			return err
+		}
+		system.Apply(service, source)
+	}
+	for i := range w.Engines {
+		if _, err := system.StartEngine(r.engine(i), w.place(i)); err != nil {
+			return err
+		}
+	}
+	for i := range w.Plains {
+		config := fakeplain.Config{ID: fmt.Sprintf("plain-%d", i), ServiceTime: 5 * time.Millisecond, Seed: r.Seed + uint64(i)}
+		if _, err := system.StartPlain(config, w.PlainService, w.place(i)); err != nil {
+			return err
+		}
+	}
+	for i := range w.Daemons {
+		if _, err := system.StartDaemon(fmt.Sprintf("daemon-%d", i), w.place(i), r.Variant.Settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Run) engine(i int) fakeengine.Config {
+	return fakeengine.Config{
+		ID: fmt.Sprintf("engine-%d", i), Pool: r.Workload.ModelService, Version: 1,
+		TokenTime: tokenTime, BatchTime: batchTime, PrefillTime: prefillTime,
+		MaxBatch: maxBatch, CacheTokens: cacheTokens,
+	}
+}
+
+func (w Workload) place(i int) local.Place {
+	return local.Place{Region: w.Region, FailureDomain: w.Domains[i%len(w.Domains)]}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/bench/callers.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/caller"
+)
+
+const (
+	interactiveDeadline = 10 * time.Second
+	highestLatency      = int64(time.Minute / time.Microsecond)
+)
+
+// callers send requests at a fixed rate, whether answers come or not.
+type callers struct {
+	client    *caller.Client
+	workload  Workload
+	addresses []string
+	deadline  time.Duration
+
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram // µs, whole model answers
+	lookups  *hdrhistogram.Histogram // µs, plain answers
+	outcomes map[fault.Outcome]int
+	attempts int // of answered requests
+	answered int
+	wrong    int
+}
+
+func newCallers(w Workload, addresses []string, deadline time.Duration) *callers {
+	return &callers{
+		client: caller.NewClient(), workload: w, addresses: addresses, deadline: deadline,
+		latency: hdrhistogram.New(1, highestLatency, 3), lookups: hdrhistogram.New(1, highestLatency, 3),
+		outcomes: map[fault.Outcome]int{},
+	}
+}
+
+// send sends requests with exponential gaps until ctx ends, then waits for the answers.
+func (c *callers) send(ctx context.Context, rate float64, seed uint64, one func(n int, random *rand.Rand)) {
+	if rate <= 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(seed, 7))
+	var sent sync.WaitGroup
+	next := time.Now()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		if pause(ctx, time.Until(next)) != nil {
+			break
+		}
+		own := rand.New(rand.NewPCG(seed, uint64(n)))
+		sent.Go(func() { one(n, own) })
+	}
+	sent.Wait()
+}
+
+// generate sends one model request of a desk.
+func (c *callers) generate(n int, random *rand.Rand) {
+	desk := random.IntN(c.workload.Desks)
+	deskPrompt := prompt(rand.New(rand.NewPCG(uint64(desk), 99)), c.workload.PromptWords)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*c.deadline)
+	defer cancel()
+	result := c.client.Generate(ctx, caller.Request{
+		Daemon: c.addresses[n%len(c.addresses)], Service: c.workload.ModelService, ID: fmt.Sprintf("ask-%d", n),
+		Prompt: deskPrompt + fmt.Sprintf("question %d", n), MaxTokens: c.workload.InteractToken, Seed: int64(n),
+		Prefix: fmt.Sprintf("desk-%d", desk), Deadline: c.deadline,
+	})
+	c.record(c.latency, result)
+}
+
+// lookup sends one plain request.
+func (c *callers) lookup(n int, _ *rand.Rand) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*c.deadline)
+	defer cancel()
+	result := c.client.Plain(ctx, caller.Request{
+		Daemon: c.addresses[n%len(c.addresses)], Service: c.workload.PlainService, ID: fmt.Sprintf("lookup-%d", n),
+		Method: http.MethodGet, Path: fmt.Sprintf("/members/%d", n), Deadline: c.deadline,
+	})
+	c.record(c.lookups, result)
+}
+
+func (c *callers) record(latency *hdrhistogram.Histogram, result caller.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes[result.Outcome]++
+	if result.Attempts > 0 {
+		c.answered++
+		c.attempts += result.Attempts
+	}
+	if result.Wrong != "" {
+		c.wrong++
+	}
+	if result.Outcome == caller.OK {
+		_ = latency.RecordValue(min(result.Took.Microseconds(), highestLatency))
+	}
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -15,6 +15,7 @@
 	addCommand(parser, "weights", "Run the weight store", &weightsCommand{})
 	addCommand(parser, "engine", "Run one model engine", &engineCommand{})
 	addCommand(parser, "plain", "Run one plain service", &plainCommand{})
+	addCommand(parser, "bench", "Measure ways of deciding", &benchCommand{})
 	addCommand(parser, "demo", "Run the whole path on loopback", &demoCommand{})
 	_, err := parser.Parse()
 	var failure *flags.Error
