--- a/rollout/copies.go
+++ b/rollout/copies.go
@@ -19,6 +19,7 @@
 	lookupMembers    = 8               // daemons asked for it
 	storeTimeout     = 5 * time.Second // all tries to store it
 	storeRetry       = 500 * time.Millisecond
+	definitionLife   = 6 * time.Hour // older objects are deleted when their trainer opens a step
 )
 
 // keep stores a copy of a definition.
@@ -93,6 +94,7 @@
 	for {
 		err = m.storeOnce(ctx, key, value)
 		if err == nil {
+			m.deleteOld(ctx, d.Trainer)
 			return
 		}
 		select {
@@ -122,6 +124,21 @@
 	return err
 }
 
+// deleteOld deletes the trainer's definitions that are past their life.
+func (m *Manager) deleteOld(ctx context.Context, trainer string) {
+	found, err := m.parts.Store.List(ctx, "steps/"+trainer+"/")
+	if err != nil {
+		return
+	}
+	oldest := m.now().Add(-definitionLife).UnixMilli()
+	for _, object := range found.Objects {
+		var d rolloutpb.Definition
+		if proto.Unmarshal(object.Value, &d) == nil && d.OpenedMs < oldest {
+			_ = m.parts.Store.Delete(ctx, object.Key, object.Version)
+		}
+	}
+}
+
 // findDefinition returns a step's definition from this daemon, another one or the
 // object API. Errors: fault.NotFound, not run.
 func (m *Manager) findDefinition(ctx context.Context, key stepKey) (*rolloutpb.Definition, error) {
--- a/rollout/fetch.go
+++ b/rollout/fetch.go
@@ -53,7 +53,7 @@
 	}
 	if len(lost) > 0 {
 		p.m.counters.discarded.Add(int64(len(lost)))
-		p.discard(ctx, lost)
+		p.discard(ctx, lost, false)
 	}
 	return samples
 }
--- a/rollout/front.go
+++ b/rollout/front.go
@@ -99,7 +99,7 @@
 // reached, the next in line is asked, and this daemon itself as the last. An error
 // that the owner answered ends the search.
 func (m *Manager) atOwner(ctx context.Context, key stepKey, f func(context.Context, rolloutServer) error) error {
-	for _, member := range m.parts.View.Owners(key.placement(), ownerRetries) {
+	for _, member := range m.suspects.last(m.parts.View.Owners(key.placement(), ownerRetries)) {
 		if m.isSelf(member.PeerAddress) {
 			break
 		}
@@ -112,6 +112,7 @@
 		if err == nil || answered(err) || ctx.Err() != nil {
 			return err
 		}
+		m.suspects.add(member.PeerAddress)
 		m.parts.Log.Log(event.RolloutOwnerUnreached, event.F("owner", member.ID), event.Err(err))
 	}
 	return f(ctx, &service{m: m})
@@ -120,7 +121,7 @@
 // answered reports whether err was made by the owner's own answer.
 func answered(err error) bool {
 	switch fault.KindOf(err) {
-	case fault.Internal, fault.Unavailable, fault.Canceled, fault.Deadline, fault.Truncated:
+	case fault.Internal, fault.Unavailable, fault.Draining, fault.Canceled, fault.Deadline, fault.Truncated:
 		return false
 	}
 	return true
@@ -172,7 +173,7 @@
 			return err
 		}
 		samples := p.fetch(ctx, collected)
-		waiting := p.m.now().Before(p.deadline) && p.token.Delivered() < p.token.Samples
+		waiting := p.m.now().Before(p.deadline) && p.token.Delivered() < p.token.Samples && !p.m.draining.Load()
 		if len(samples) == 0 && waiting {
 			continue
 		}
@@ -312,16 +313,17 @@
 		p.m.parts.Log.Log(event.RolloutSampleStale, event.F("trainer", p.token.Trainer), event.F("step", p.token.Step), event.F("sample", s.ID), event.F("oldest", oldest))
 		lost = append(lost, &rolloutpb.Ready{Id: int32(s.ID), Oldest: oldest})
 	}
-	p.discard(ctx, lost)
+	p.discard(ctx, lost, true)
 }
 
-func (p *pullCall) discard(ctx context.Context, lost []*rolloutpb.Ready) {
+func (p *pullCall) discard(ctx context.Context, lost []*rolloutpb.Ready, stale bool) {
 	_ = p.m.atOwner(ctx, keyOf(p.token), func(ctx context.Context, owner rolloutServer) error {
 		_, err := owner.Discard(ctx, &rolloutpb.DiscardRequest{
 			Trainer: p.token.Trainer,
 			Step:    p.token.Step,
 			Layout:  p.token.Layout,
 			Samples: lost,
+			Stale:   stale,
 		})
 		return err
 	})
--- a/rollout/job.go
+++ b/rollout/job.go
@@ -82,6 +82,13 @@
 	return j.used.Before(abandoned)
 }
 
+// awaited reports whether the sample is in progress and a run waits for it.
+func (j *job) awaited() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.ok && j.attached > 0 && j.ctx.Err() == nil
+}
+
 // finished reports whether the sample is held.
 func (j *job) finished() bool {
 	j.mu.Lock()
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -50,7 +50,9 @@
 	parts    Parts
 	now      func() time.Time
 	counters counters
+	draining atomic.Bool
 	sessions *sessions
+	suspects *suspects
 	runner   *runner
 
 	life context.Context // ends with Close; parent of all step and sample work
@@ -92,6 +94,7 @@
 		seen:   map[string]int64{},
 	}
 	m.sessions = newSessions(m)
+	m.suspects = newSuspects(m)
 	m.runner = newRunner(m)
 	return m
 }
--- a/rollout/once_test.go
+++ b/rollout/once_test.go
@@ -140,3 +140,27 @@
 		t.Fatalf("the older pull ended with %+v", f)
 	}
 }
+
+func TestStoppingDaemonHandsItsSamplesOver(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	owner := c.owner(1)
+	other := c.other(owner)
+	trainer := c.openTest(other, 1, 8, 2)
+	waitFor(t, "all samples generated", func() bool {
+		return owner.manager.runner.held()+other.manager.runner.held() == 16
+	})
+	owner.remove()
+	owner.manager.Drain(t.Context())
+	if held := other.manager.runner.held(); held != 16 {
+		t.Errorf("%d of 16 samples are held after the hand-over", held)
+	}
+	if _, f, ok := owner.pull(Pull{Token: trainer.token, WaitMS: 60000}); !ok && f.Kind != fault.Draining {
+		t.Errorf("pull at the stopping daemon: %+v", f)
+	}
+	owner.stop()
+	trainer.pullAll(other)
+	trainer.check(16)
+	if c.gen.count() != 16 {
+		t.Errorf("%d samples were generated for 16", c.gen.count())
+	}
+}
--- a/rollout/owner.go
+++ b/rollout/owner.go
@@ -13,6 +13,9 @@
 	if d == nil {
 		return invalidStep("it has no definition")
 	}
+	if err := m.refuseDraining(); err != nil {
+		return err
+	}
 	if err := m.sessions.check(ctx, d.Trainer, d.Epoch); err != nil {
 		return err
 	}
@@ -44,6 +47,9 @@
 // ownedStep returns the token's step. A daemon that does not own it yet rebuilds it
 // from its definition; the samples that runners still hold are found again by them.
 func (m *Manager) ownedStep(ctx context.Context, t Token) (*step, error) {
+	if err := m.refuseDraining(); err != nil {
+		return nil, err
+	}
 	key := keyOf(t)
 	m.mu.Lock()
 	s, ok := m.steps[key]
@@ -112,7 +118,7 @@
 	s, ok := m.steps[stepKey{trainer: r.Trainer, step: r.Step, layout: r.Layout}]
 	m.mu.Unlock()
 	if ok {
-		s.discard(r.Samples)
+		s.discard(r.Samples, r.Stale)
 	}
 }
 
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
@@ -40,19 +41,25 @@
 func (s *step) startGroups() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	doc := s.document()
+	if doc == nil {
+		return s.changed
+	}
 	s.dropStale()
-	s.checkLate()
-	for _, group := range s.order(s.runnable()) {
-		request := s.beginRun(group)
-		go s.runGroup(group, request)
+	s.checkLate(doc)
+	for _, group := range s.order(doc, s.runnable()) {
+		if s.runs >= s.runLimit(doc) {
+			break
+		}
+		s.runs++
+		go s.runGroup(group, s.beginRun(group))
 	}
 	return s.changed
 }
 
 // checkLate reports once that the step is not whole in time. The caller holds mu.
-func (s *step) checkLate() {
-	doc := s.document()
-	if doc == nil || s.late || s.whole || s.age() <= doc.Samples.StepTime {
+func (s *step) checkLate(doc *document.Document) {
+	if s.late || s.whole || s.age() <= doc.Samples.StepTime {
 		return
 	}
 	missing := 0
@@ -111,23 +118,52 @@
 	return r
 }
 
-// runGroup has one of the daemons in line run the group and takes in its events.
+// runGroup has the daemons in line run the group, one after another until all its
+// samples are finished, and takes in their events.
 func (s *step) runGroup(group int, r *rolloutpb.RunRequest) {
+	var err error
+	for _, member := range s.m.suspects.last(s.runners(group)) {
+		if !s.narrow(r) || s.ctx.Err() != nil {
+			break
+		}
+		err = s.runOn(member, r)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, errBusy) && s.ctx.Err() == nil {
+			s.m.suspects.add(member.PeerAddress)
+			s.m.parts.Log.Log(event.RolloutRunnerLost, event.F("step", s.key.placement()), event.F("group", s.definition.Groups[group].Id),
+				event.F("runner", member.ID), event.Err(err))
+		}
+	}
+	s.endRun(group, r, err)
+}
+
+// runners returns the daemons in line for the group.
+func (s *step) runners(group int) []fleet.Member {
 	line := s.m.parts.View.Owners(s.groupPlacement(group), runnerTries)
 	if len(line) == 0 {
 		line = []fleet.Member{s.m.parts.View.Self()}
 	}
-	err := errBusy
-	for _, member := range line {
-		err = s.runOn(member, r)
-		if !errors.Is(err, errBusy) {
-			break
+	return line
+}
+
+// narrow leaves in the order only the samples that are still wanted, and reports
+// whether there are any.
+func (s *step) narrow(r *rolloutpb.RunRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var left []int32
+	for _, id := range r.Wanted {
+		sample := &s.samples[id]
+		if sample.phase == wanted {
+			left = append(left, id)
+			continue
 		}
+		sample.running = false
 	}
-	if err != nil && !errors.Is(err, errBusy) && s.ctx.Err() == nil {
-		s.m.parts.Log.Log(event.RolloutRunnerLost, event.F("step", s.key.placement()), event.F("group", s.definition.Groups[group].Id), event.Err(err))
-	}
-	s.endRun(group, r, err)
+	r.Wanted = left
+	return len(left) > 0
 }
 
 // groupPlacement is the rendezvous key of the group's runner.
@@ -142,6 +178,7 @@
 func (s *step) endRun(group int, r *rolloutpb.RunRequest, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.runs--
 	for _, id := range r.Wanted {
 		s.samples[id].running = false
 	}
@@ -197,6 +234,3 @@
 	}
 	return nil
 }
-
-// order returns the groups in the order in which they start. The caller holds mu.
-func (s *step) order(groups []int) []int { return groups }
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -80,6 +80,11 @@
 	return &rolloutpb.Reply{}, nil
 }
 
+// Adopt takes over finished samples.
+func (s *service) Adopt(_ context.Context, r *rolloutpb.AdoptRequest) (*rolloutpb.Reply, error) {
+	return &rolloutpb.Reply{}, s.m.runner.adopt(r)
+}
+
 // Fence takes in a trainer's newest epoch.
 func (s *service) Fence(_ context.Context, r *rolloutpb.FenceRequest) (*rolloutpb.Reply, error) {
 	s.m.sessions.raise(r.Trainer, r.Epoch)
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -20,16 +20,18 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 
-	mu      sync.Mutex
-	changed chan struct{} // closed and replaced at each change
-	samples []sampleState
-	groups  []groupState
-	pull    string          // the newest pull
-	ended   map[string]bool // pulls that a newer one ended
-	pulled  time.Time       // last call of the trainer
-	version int64           // newest version that the trainer named
-	whole   bool            // was whole once
-	late    bool            // was reported as late
+	mu       sync.Mutex
+	changed  chan struct{} // closed and replaced at each change
+	samples  []sampleState
+	groups   []groupState
+	pull     string          // the newest pull
+	ended    map[string]bool // pulls that a newer one ended
+	pulled   time.Time       // last call of the trainer
+	lastPull time.Time       // last pull, zero before the first
+	runs     int             // groups in progress
+	version  int64           // newest version that the trainer named
+	whole    bool            // was whole once
+	late     bool            // was reported as late
 }
 
 // sampleState is one sample in the index.
@@ -151,6 +153,7 @@
 	}
 	s.pull = r.Pull
 	s.pulled = s.m.now()
+	s.lastPull = s.pulled
 	s.version = max(s.version, r.Version)
 	s.takeToken(t)
 	s.notify()
@@ -245,8 +248,9 @@
 	return nil
 }
 
-// discard makes samples wanted again that are lost or over the bound.
-func (s *step) discard(lost []*rolloutpb.Ready) {
+// discard makes samples wanted again that are over the bound or that their runner does
+// not hold. Such a runner is asked last for a while.
+func (s *step) discard(lost []*rolloutpb.Ready, stale bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range lost {
@@ -254,9 +258,13 @@
 			continue
 		}
 		sample := &s.samples[r.Id]
-		if sample.phase == ready {
-			sample.phase = wanted
-			sample.again = true
+		if sample.phase != ready {
+			continue
+		}
+		sample.phase = wanted
+		sample.again = stale
+		if !stale {
+			s.m.suspects.add(sample.runner)
 		}
 	}
 	s.notify()
