--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -54,7 +54,8 @@
 	router  http.Handler
 	stop    context.CancelFunc
 	gate    *gate
-	gone    bool // not in the members any more
+	own     *fakeVersions // what this daemon heard of versions, nil for the cluster's
+	gone    bool          // not in the members any more
 }
 
 func newCluster(t *testing.T, count int, tune func(*Config)) *cluster {
@@ -90,7 +91,7 @@
 	}
 	pool := peer.NewPool(peer.Config{Connect: time.Second, Progress: 2 * time.Second}, nil)
 	d.manager = NewManager(config, Parts{
-		View: d, Docs: c, Generator: c.gen, Versions: c.versions, Store: c.store, Conns: pool, Recorder: c.recorder,
+		View: d, Docs: c, Generator: c.gen, Versions: d, Store: c.store, Conns: pool, Recorder: c.recorder,
 	})
 	server := peer.NewServer(nil)
 	if err := d.manager.Register(server.Mux()); err != nil {
@@ -178,6 +179,17 @@
 	return members[:min(n, len(members))]
 }
 
+// Newest implements weights.Versions.
+func (d *testDaemon) Newest(pool string) int64 {
+	d.c.mu.Lock()
+	own := d.own
+	d.c.mu.Unlock()
+	if own != nil {
+		return own.Newest(pool)
+	}
+	return d.c.versions.Newest(pool)
+}
+
 func (d *testDaemon) Replicas(string) []fleet.Replica { return nil }
 func (d *testDaemon) Subset(string) []fleet.Replica   { return nil }
 func (d *testDaemon) Isolated() (time.Time, bool)     { return time.Time{}, false }
@@ -298,6 +310,18 @@
 	}
 }
 
+// held waits until the daemons hold n finished samples.
+func (c *cluster) held(n int) {
+	c.t.Helper()
+	waitFor(c.t, "samples generated", func() bool {
+		sum := 0
+		for _, d := range c.daemons {
+			sum += d.manager.runner.held()
+		}
+		return sum >= n
+	})
+}
+
 // waitFor waits until a condition holds.
 func waitFor(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- /dev/null
+++ b/rollout/golden_test.go
@@ -0,0 +1,76 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// exchange is one call of a recorded session.
+type exchange struct {
+	Call   string          `json:"call"`
+	Body   json.RawMessage `json:"body"`
+	Status int             `json:"status"`
+	Answer json.RawMessage `json:"answer"`
+}
+
+// recording records a trainer's calls.
+type recording struct {
+	t         *testing.T
+	d         *testDaemon
+	exchanges []exchange
+}
+
+func (r *recording) call(path string, body, answer any) {
+	r.t.Helper()
+	w := httptest.NewRecorder()
+	_, _ = r.d.callOn(w, path, body, answer)
+	encoded, _ := json.Marshal(body)
+	r.exchanges = append(r.exchanges, exchange{
+		Call: "POST /v1/trainers/" + testTrainer + path, Body: encoded, Status: w.Code, Answer: bytes.TrimSpace(w.Body.Bytes()),
+	})
+}
+
+func TestTrainerSessionMatchesItsGoldenFile(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	r := &recording{t: t, d: c.daemons[0]}
+	var first, second Session
+	var step Step
+	var batch, lost Batch
+	r.call("/sessions", OpenSession{Service: testService}, &first)
+	r.call("/steps", openStep(first.Epoch, 1, 2, 2), &step)
+	r.call("/steps", openStep(first.Epoch, 1, 2, 2), &step)
+	waitFor(t, "all samples ready", func() bool { return c.daemons[0].manager.ownedSteps()[0].state().Ready == 4 })
+	r.call("/pull", Pull{Token: step.Token, Version: 1, Max: 1}, &batch)
+	r.call("/pull", Pull{Token: batch.Token, Version: 1, Max: 2}, &lost)
+	r.call("/pull", Pull{Token: batch.Token, Version: 1, Max: 2}, &lost)
+	r.call("/sessions", OpenSession{Service: testService, Token: batch.Token}, &second)
+	r.call("/pull", Pull{Token: lost.Token, Version: 1}, &batch)
+	r.call("/pull", Pull{Token: second.Token, Version: 1}, &batch)
+	r.call("/pull", Pull{Token: batch.Token, Version: 1}, &batch)
+	r.call("/pull", Pull{Token: strings.ToLower(batch.Token)}, &batch)
+	r.call("/steps", OpenStep{Service: testService, Epoch: second.Epoch, Step: 2}, &step)
+	got, err := json.MarshalIndent(r.exchanges, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const file = "testdata/session.golden.json"
+	if *update {
+		if err := os.WriteFile(file, append(got, '\n'), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got)+"\n" != string(want) {
+		t.Errorf("the session differs from %s (run with -update to see the difference in version control):\n%s", file, got)
+	}
+}
--- /dev/null
+++ b/rollout/hedge_test.go
@@ -0,0 +1,135 @@
+package rollout
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+)
+
+// stragglers is a generator on which the first attempt of sample 0 stands still until
+// it is cancelled or released.
+type stragglers struct {
+	c       *cluster
+	release chan struct{}
+
+	mu       sync.Mutex
+	attempts int      // of sample 0
+	excluded []string // by its second attempt
+	ended    error    // of its first attempt
+}
+
+func (s *stragglers) generate(ctx context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+	completion := s.c.gen.whole(r, "fast", backend.Segment{Version: 1, Tokens: 8})
+	if !strings.Contains(r.RequestID, "/0-") {
+		return completion, nil
+	}
+	s.mu.Lock()
+	s.attempts++
+	first := s.attempts == 1
+	if s.attempts == 2 {
+		s.excluded = r.Exclude
+	}
+	s.mu.Unlock()
+	if !first {
+		return completion, nil
+	}
+	r.OnProgress("slow", 0)
+	completion.Replica = "slow"
+	var err error
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-s.release:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = err
+	return completion, err
+}
+
+func TestStragglerIsHedgedOnAnotherReplicaAndDeliveredOnce(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	s := &stragglers{c: c, release: make(chan struct{})}
+	c.gen.setHook(s.generate)
+	trainer := c.openTest(c.daemons[0], 1, 1, 4)
+	trainer.pullAll(c.daemons[0])
+	trainer.check(4)
+	if trainer.got[0].Replica != "fast" {
+		t.Errorf("the straggler's sample came from %s", trainer.got[0].Replica)
+	}
+	waitFor(t, "the first attempt cancelled", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.ended != nil
+	})
+	if s.attempts != 2 || len(s.excluded) != 1 || s.excluded[0] != "slow" {
+		t.Errorf("%d attempts, the hedge excluded %v", s.attempts, s.excluded)
+	}
+}
+
+func TestHedgeAndFirstAttemptBothFinish(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	s := &stragglers{c: c, release: make(chan struct{})}
+	c.gen.setHook(func(ctx context.Context, call int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		completion, err := s.generate(context.WithoutCancel(ctx), call, r)
+		if len(r.Exclude) > 0 {
+			close(s.release) // both end whole
+		}
+		return completion, err
+	})
+	trainer := c.openTest(c.daemons[0], 1, 1, 4)
+	trainer.pullAll(c.daemons[0])
+	trainer.check(4)
+	if len(trainer.twice) > 0 || c.daemons[0].manager.counters.generated.Load() != 4 {
+		t.Errorf("generated %d of 4", c.daemons[0].manager.counters.generated.Load())
+	}
+}
+
+func TestHedgesStayWithinTheBudget(t *testing.T) {
+	for name, tune := range map[string]func(*cluster, *Config){
+		"budget of nothing": func(c *cluster, _ *Config) { c.doc.Samples.HedgeBudget = 0 },
+		"no hedges":         func(c *cluster, _ *Config) { c.doc.Samples.Hedges = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, nil)
+			tune(c, nil)
+			s := &stragglers{c: c, release: make(chan struct{})}
+			c.gen.setHook(s.generate)
+			trainer := c.openTest(c.daemons[0], 1, 1, 4)
+			c.held(3)
+			time.AfterFunc(4*hedgeAgeLeast, func() { close(s.release) })
+			trainer.pullAll(c.daemons[0])
+			trainer.check(4)
+			if s.attempts != 1 {
+				t.Errorf("%d attempts", s.attempts)
+			}
+		})
+	}
+}
+
+func TestHedgeBudgetIsAShareOfTheSamples(t *testing.T) {
+	doc := newCluster(t, 0, nil).doc
+	doc.Samples.HedgeBudget = 5
+	s := newSpeeds()
+	s.add(doc.Service, 1000, time.Second)
+	granted := 0
+	for range 200 {
+		s.earn(doc, 1)
+		if s.takeHedge(doc) {
+			granted++
+		}
+	}
+	if granted > 10 || granted < 9 {
+		t.Errorf("%d hedges for 200 samples at 5 percent", granted)
+	}
+	s.earn(doc, 100)
+	s.throwAway(doc.Service, 51)
+	if s.takeHedge(doc) {
+		t.Error("a hedge was granted after 5.1 percent of the tokens were thrown away")
+	}
+}
--- a/rollout/once_test.go
+++ b/rollout/once_test.go
@@ -68,7 +68,7 @@
 	owner := c.owner(1)
 	runner := c.other(owner)
 	trainer := c.openTest(owner, 1, 8, 2)
-	waitFor(t, "all samples ready", func() bool { return c.gen.count() >= 16 })
+	c.held(16)
 	runner.kill()
 	runner.remove()
 	trainer.pullAll(owner)
@@ -146,9 +146,7 @@
 	owner := c.owner(1)
 	other := c.other(owner)
 	trainer := c.openTest(other, 1, 8, 2)
-	waitFor(t, "all samples generated", func() bool {
-		return owner.manager.runner.held()+other.manager.runner.held() == 16
-	})
+	c.held(16)
 	owner.remove()
 	owner.manager.Drain(t.Context())
 	if held := other.manager.runner.held(); held != 16 {
@@ -164,3 +162,92 @@
 		t.Errorf("%d samples were generated for 16", c.gen.count())
 	}
 }
+
+func TestTrainerRestoredFromAnOlderTokenGetsWhatItLost(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	trainer := c.openTest(c.daemons[0], 1, 4, 4)
+	c.held(16)
+	var checkpoint trainerClient
+	for pull := range 3 {
+		b, f, ok := c.daemons[pull%2].pull(Pull{Token: trainer.token, Max: 4, WaitMS: 5000})
+		if !ok {
+			t.Fatalf("pull %d: %+v", pull, f)
+		}
+		trainer.take(b)
+		if pull == 0 {
+			checkpoint = trainerClient{c: c, token: trainer.token, got: map[int]Sample{}}
+			for id, s := range trainer.got {
+				checkpoint.got[id] = s
+			}
+		}
+	}
+	restored := c.daemons[1].session(checkpoint.token)
+	checkpoint.token = restored.Token
+	checkpoint.pullAll(c.daemons[0])
+	checkpoint.check(16)
+}
+
+func TestNewestTokenIsStoredForATrainerThatLostItsOwn(t *testing.T) {
+	c := newCluster(t, 2, func(config *Config) { config.TokenInterval = time.Millisecond })
+	trainer := c.openTest(c.daemons[0], 1, 2, 4)
+	c.held(8)
+	for range 3 {
+		b, f, ok := c.daemons[1].pull(Pull{Token: trainer.token, Max: 2, WaitMS: 5000})
+		if !ok {
+			t.Fatalf("pull: %+v", f)
+		}
+		trainer.take(b)
+		time.Sleep(2 * time.Millisecond)
+	}
+	waitFor(t, "token stored", func() bool {
+		stored, err := ParseToken(storedRecord(c).Token)
+		return err == nil && stored.Delivered() > 0
+	})
+	session := c.daemons[0].session("")
+	resumed := newTrainer(c, session.Token)
+	resumed.pullAll(c.daemons[0])
+	if len(resumed.got) > 6 || len(resumed.got) < 4 {
+		t.Errorf("%d samples after the stored token", len(resumed.got))
+	}
+}
+
+// storedRecord returns the test trainer's session object.
+func storedRecord(c *cluster) sessionRecord {
+	record, _, _ := c.daemons[0].manager.sessions.read(context.Background(), testTrainer)
+	return record
+}
+
+func TestSessionWhoseAnswerWasLostIsOpenedOnce(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.store.mu.Lock()
+	c.store.loseAnswer = 1
+	c.store.mu.Unlock()
+	if epoch := c.daemons[0].session("").Epoch; epoch != 1 {
+		t.Errorf("epoch %d", epoch)
+	}
+	if epoch := c.daemons[1].session("").Epoch; epoch != 2 {
+		t.Errorf("epoch %d", epoch)
+	}
+}
+
+func TestStepIsOpenedAgainWhenNobodyHoldsItsPrompts(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	open := openStep(1, 1, 2, 2)
+	trainer := c.openTest(c.daemons[0], 1, 2, 2)
+	b, _, _ := c.daemons[0].pull(Pull{Token: trainer.token, Max: 1, WaitMS: 5000})
+	trainer.take(b)
+	for _, d := range c.daemons {
+		d.manager.forgetCopies(time.Now().Add(time.Hour))
+		for _, s := range d.manager.ownedSteps() {
+			d.manager.forgetStep(s)
+		}
+	}
+	c.store.setDown(true)
+	_, f, ok := c.daemons[1].pull(Pull{Token: trainer.token, WaitMS: 100})
+	if ok || f.Kind != fault.NotFound || f.Outcome != fault.NotRun {
+		t.Fatalf("pull without prompts: %+v", f)
+	}
+	c.daemons[1].step(open)
+	trainer.pullAll(c.daemons[1])
+	trainer.check(4)
+}
--- /dev/null
+++ b/rollout/staleness_test.go
@@ -0,0 +1,134 @@
+package rollout
+
+import (
+	"context"
+	"testing"
+
+	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+	"github.com/hornbeamtide/hornbeamtide/document"
+)
+
+// oldest fails the test unless all samples are of least or newer.
+func (tr *trainerClient) notOlder(least int64) {
+	tr.c.t.Helper()
+	for id, s := range tr.got {
+		if oldest := oldestVersion(s.Segments); oldest < least {
+			tr.c.t.Errorf("sample %d is of version %d, over the bound of %d", id, oldest, least)
+		}
+	}
+}
+
+func TestBoundPassedWhileTheAnswerIsMade(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	owner := c.owner(1)
+	front := c.other(owner)
+	trainer := c.openTest(owner, 1, 2, 4)
+	c.held(8)
+	// The owner still counts on version 1; only the daemon that writes the answer has
+	// heard of version 3.
+	heard := &fakeVersions{}
+	heard.set(3)
+	c.mu.Lock()
+	front.own = heard
+	c.mu.Unlock()
+	c.gen.setHook(func(_ context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		return c.gen.whole(r, "e0", backend.Segment{Version: 3, Tokens: 8}), nil
+	})
+	trainer.pullAll(front)
+	trainer.check(8)
+	trainer.notOlder(2)
+}
+
+func TestSlowTrainerGetsNoSampleOverTheBound(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	trainer := c.openTest(c.daemons[0], 1, 2, 4)
+	c.held(8)
+	c.versions.set(3)
+	trainer.pullAll(c.daemons[1])
+	trainer.check(8)
+	trainer.notOlder(2)
+}
+
+func TestVersionPublishedDuringThePull(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.gen.setHook(func(ctx context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		version := c.versions.Newest(testPool)
+		if err := r.OnVersion(version); err != nil {
+			return dispatch.Completion{}, err
+		}
+		if version == 1 {
+			<-ctx.Done() // never finishes: it must be cut
+			return dispatch.Completion{}, ctx.Err()
+		}
+		return c.gen.whole(r, "e0", backend.Segment{Version: version, Tokens: 8}), nil
+	})
+	trainer := c.openTest(c.daemons[0], 1, 2, 4)
+	waitFor(t, "samples in progress", func() bool { return c.gen.count() >= 8 })
+	c.versions.set(3)
+	trainer.pullAll(c.daemons[0])
+	trainer.check(8)
+	trainer.notOlder(2)
+}
+
+func TestTrainerRestoredToAnOlderVersionIsServed(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.versions.set(7)
+	trainer := c.openTest(c.daemons[0], 1, 2, 4)
+	trainer.version = 3
+	trainer.pullAll(c.daemons[1])
+	trainer.check(8)
+	trainer.notOlder(7)
+}
+
+func TestTrainerAheadOfThePublishedVersionSetsTheBound(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	trainer := c.openTest(c.daemons[0], 1, 2, 4)
+	c.held(8)
+	c.gen.setHook(func(_ context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		return c.gen.whole(r, "e0", backend.Segment{Version: 5, Tokens: 8}), nil
+	})
+	trainer.version = 5
+	trainer.pullAll(c.daemons[1])
+	trainer.check(8)
+	trainer.notOlder(4)
+}
+
+func TestStalenessPreferenceBeginsAgainOnANewerVersion(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		c := newCluster(t, 1, func(config *Config) { config.DisableFreshness = off })
+		c.doc.Samples.Preference = document.PreferStaleness
+		c.gen.setHook(func(_ context.Context, call int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+			_ = r.OnVersion(1)
+			r.OnProgress("e0", 1)
+			segments := []backend.Segment{{Version: 1, Tokens: 1}, {Version: 2, First: 1, Tokens: 7}}
+			if call > 1 {
+				segments = []backend.Segment{{Version: 2, Tokens: 8}}
+			} else if err := r.OnVersion(2); err != nil {
+				return dispatch.Completion{}, err
+			}
+			return c.gen.whole(r, "e0", segments...), nil
+		})
+		trainer := c.openTest(c.daemons[0], 1, 1, 1)
+		trainer.pullAll(c.daemons[0])
+		want := int64(2)
+		if off {
+			want = 1
+		}
+		if oldest := oldestVersion(trainer.got[0].Segments); oldest != want {
+			t.Errorf("lever off %v: the sample's oldest version is %d", off, oldest)
+		}
+	}
+}
+
+func TestStalenessPreferenceHoldsWorkBackWhileTheTrainerIsAway(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.doc.Samples.Preference = document.PreferStaleness
+	trainer := c.openTest(c.daemons[0], 1, 8, 2)
+	c.held(4)
+	if calls := c.gen.count(); calls != 4 {
+		t.Errorf("%d of 16 samples were started before the trainer came", calls)
+	}
+	trainer.pullAll(c.daemons[0])
+	trainer.check(16)
+}
--- /dev/null
+++ b/rollout/token_test.go
@@ -0,0 +1,53 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+)
+
+func FuzzParseToken(f *testing.F) {
+	token := NewToken("captions", "drafts", 7, 2, 0xfeed, 21)
+	for _, seed := range []string{
+		"", "AQ", "not a token", token.String(), token.With(0, 8, 20).String(),
+		token.String()[1:], token.String()[:len(token.String())-2],
+		NewToken("", "", -1, 0, 0, 1).String(), NewToken("t", "s", 1, 1, 1, maxStepSamples).String(),
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		parsed, err := ParseToken(text)
+		if err != nil {
+			if !fault.Is(err, fault.Invalid) || fault.RemedyOf(err) == "" || fault.OutcomeOf(err) != fault.NotRun {
+				t.Errorf("error %v", err)
+			}
+			return
+		}
+		again, err := ParseToken(parsed.String())
+		if err != nil || again.String() != parsed.String() {
+			t.Errorf("token %q does not read back: %v", text, err)
+		}
+		if parsed.Delivered() > parsed.Samples || parsed.Has(-1) || parsed.Has(parsed.Samples) {
+			t.Errorf("token %q holds samples that the step has not", text)
+		}
+	})
+}
+
+func TestTokenHoldsExactlyTheDeliveredSamples(t *testing.T) {
+	token := NewToken("captions", "drafts", 7, 2, 0xfeed, 21)
+	next := token.With(3, 20)
+	if token.Delivered() != 0 || next.Delivered() != 2 || !next.Has(3) || !next.Has(20) || next.Has(4) {
+		t.Errorf("token holds %d samples", next.Delivered())
+	}
+}
+
+func TestDamagedTokenIsRefused(t *testing.T) {
+	whole := NewToken("captions", "drafts", 7, 2, 0xfeed, 21).With(3).Bytes()
+	for i := range whole {
+		damaged := append([]byte(nil), whole...)
+		damaged[i] ^= 0x10
+		if _, err := parseTokenBytes(damaged); !fault.Is(err, fault.Invalid) {
+			t.Errorf("byte %d damaged: %v", i, err)
+		}
+	}
+}
