--- a/rollout/once_test.go
+++ b/rollout/once_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
 
 // openTest opens a session and a step through d and returns a trainer at its start.
@@ -251,3 +252,34 @@
 	trainer.pullAll(c.daemons[1])
 	trainer.check(4)
 }
+
+func TestPullThatCollectedBeforeANewerOneIsNotAnswered(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	trainer := c.openTest(c.daemons[0], 1, 1, 2)
+	token, err := ParseToken(trainer.token)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := c.daemons[0].manager
+	collect := func(pull string) {
+		reply, err := m.collect(t.Context(), &rolloutpb.CollectRequest{Token: token.Bytes(), Pull: pull, WaitMs: 5000})
+		if err != nil || len(reply.Ready) == 0 {
+			t.Fatalf("pull %s: %v %v", pull, reply, err)
+		}
+	}
+	confirm := func(pull string) error {
+		return m.confirm(t.Context(), &rolloutpb.ConfirmRequest{Token: token.Bytes(), Pull: pull})
+	}
+	collect("older")
+	collect("newer")
+	if err := confirm("older"); !fault.Is(err, fault.Fenced) {
+		t.Errorf("the older pull was confirmed: %v", err)
+	}
+	if err := confirm("newer"); err != nil {
+		t.Errorf("the newer pull: %v", err)
+	}
+	m.sessions.raise(testTrainer, token.Epoch+1)
+	if err := confirm("newer"); !fault.Is(err, fault.Fenced) {
+		t.Errorf("a pull of the older session was confirmed: %v", err)
+	}
+}
