daemon, alarm: planned stop under load, in-force watch, dump by signal

Cause: a planned stop must cut no request; a document that is not in force in time must be told with its daemon, and only then. Change: the stop fails the health check (drain_notice), refuses as not run, hands roles over, waits up to drain_time and then lets the ends of responses leave through Shutdown; one daemon of a region watches where documents are in force; alarms clear by time; SIGUSR1 writes the state dump to the log; second signal exits with 4. Taken out on a scratch change: without the wait for requests in progress TestStopDuringPlatformOutageCutsNothing fails (answer cut with EOF after 2 s). Figures: daemon tests pass with -race. Conclusion: no request was cut with 16 workers at the stop, nor while the platform hung.

--- a/alarm/manager.go
+++ b/alarm/manager.go
@@ -1,6 +1,7 @@
 package alarm
 
 import (
+	"context"
 	"sort"
 	"sync"
 	"time"
@@ -8,8 +9,10 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 )
 
-// maxEvidence bounds the evidence that an alarm keeps.
-const maxEvidence = 8
+const (
+	maxEvidence   = 8           // entries that an alarm keeps
+	clearInterval = time.Second // between two looks for alarms to clear
+)
 
 // Config configures a Manager.
 type Config struct {
@@ -112,6 +115,22 @@
 	}
 }
 
+// Run clears alarms in time until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(clearInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			m.mu.Lock()
+			m.clearExpired()
+			m.mu.Unlock()
+		}
+	}
+}
+
 // Raised returns the raised alarms ordered by promise and service.
 func (m *Manager) Raised() []Alarm {
 	m.mu.Lock()
--- a/cmd/hornbeamtide/serve.go
+++ b/cmd/hornbeamtide/serve.go
@@ -26,14 +26,33 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	go stopOnSignal(stop)
+	go dumpOnSignal(ctx, d)
+	return d.Run(ctx)
+}
+
+// stopOnSignal drains the daemon at the first signal and ends the process at the
+// second one.
+func stopOnSignal(stop func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	stop()
+	<-signals
+	os.Exit(exitAborted)
+}
+
+// dumpOnSignal writes the state dump to the log at each SIGUSR1.
+func dumpOnSignal(ctx context.Context, d *daemon.Daemon) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
 	defer signal.Stop(signals)
-	go func() {
-		<-signals
-		stop()
-		<-signals
-		os.Exit(exitAborted)
-	}()
-	return d.Run(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			d.LogDump()
+		}
+	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -99,6 +100,7 @@
 		{"weights", m.Weights},
 		{"rollout", m.Rollout},
 		{"alarm", m.Alarms},
+		{"in_force", m.InForce},
 	}
 }
 
@@ -156,7 +158,7 @@
 	case failure = <-failed:
 	}
 	cut := d.drain(work)
-	_ = server.Close()
+	d.closeHTTP(server)
 	stop()
 	waitFor(&running, closeTimeout)
 	d.modules.Conns.Close()
@@ -220,6 +222,23 @@
 	return server
 }
 
+// closeHTTP lets the ends of responses reach their callers, then closes all connections.
+func (d *Daemon) closeHTTP(server *http.Server) {
+	limited, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = server.Shutdown(limited)
+	_ = server.Close()
+}
+
+// LogDump writes the state of every module to the log.
+func (d *Daemon) LogDump() {
+	text, err := json.Marshal(d.Dump())
+	if err != nil {
+		text = []byte(err.Error())
+	}
+	d.log.Log(event.DaemonDump, event.F("state", string(text)))
+}
+
 // watchIsolation logs when the daemon becomes isolated and when that ends.
 func (d *Daemon) watchIsolation(ctx context.Context) error {
 	const interval = 200 * time.Millisecond
--- /dev/null
+++ b/daemon/drain_test.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+)
+
+const slowGenerate = `{"prompt":"Observer note: one round sunspot","max_tokens":200,"seed":3}`
+
+// load sends requests until one is refused, as a balancer's health check would.
+type load struct {
+	mu      sync.Mutex
+	whole   int
+	refused int
+	faults  []string
+	workers sync.WaitGroup
+}
+
+func (l *load) record(whole, refused bool, detail string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case whole:
+		l.whole++
+	case refused:
+		l.refused++
+	default:
+		l.faults = append(l.faults, detail)
+	}
+}
+
+func (l *load) wholeSoFar() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.whole
+}
+
+func (l *load) run(t *testing.T, workers int, send func() answer, whole func(answer) bool) {
+	for range workers {
+		l.workers.Go(func() {
+			for {
+				a := send()
+				refused := errors.Is(a.err, syscall.ECONNREFUSED) ||
+					a.status == http.StatusServiceUnavailable && a.err == nil && strings.Contains(a.body, string(fault.NotRun))
+				ok := a.err == nil && whole(a)
+				l.record(ok, refused, fmt.Sprintf("%d %v %q", a.status, a.err, a.body))
+				if !ok || t.Context().Err() != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+func TestPlannedStopUnderLoadCutsNoRequest(t *testing.T) {
+	s := newSystem(t, 20*time.Millisecond)
+	d := s.start(s.settings(1))
+	s.apply(d, "draftpool")
+	s.apply(d, "ledgerdesk")
+	var streams, plain load
+	streams.run(t, 8, func() answer {
+		return d.call(http.MethodPost, "/v1/services/draftpool/generate", slowGenerate)
+	}, func(a answer) bool {
+		return strings.Contains(a.body, `"end":true`) && !strings.Contains(a.body, "event: error")
+	})
+	plain.run(t, 8, func() answer {
+		return d.call(http.MethodPost, "/v1/services/ledgerdesk/records", "{}")
+	}, func(a answer) bool { return a.status == http.StatusOK })
+	waitUntil(t, "answers", func() bool { return streams.wholeSoFar() > 8 && plain.wholeSoFar() > 8 })
+	if _, progress := d.gate.current(); progress == 0 {
+		t.Fatal("no request in progress at the stop")
+	}
+
+	d.stop()
+	streams.workers.Wait()
+	plain.workers.Wait()
+	if err := <-d.done; err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+	d.done <- nil
+	for name, l := range map[string]*load{"streams": &streams, "plain": &plain} {
+		if len(l.faults) > 0 {
+			t.Errorf("%s: %d cut, first: %q", name, len(l.faults), l.faults[0])
+		}
+		if l.refused != 8 {
+			t.Errorf("%s: %d refused as not run, want one a worker", name, l.refused)
+		}
+	}
+	if runs := s.plain.Counts().Runs; runs != int64(plain.whole) {
+		t.Errorf("the server ran %d requests, callers saw %d answers", runs, plain.whole)
+	}
+	if alarms := d.modules.Alarms.Raised(); len(alarms) != 0 {
+		t.Errorf("alarms %+v", alarms)
+	}
+}
+
+func TestHealthFailsBeforeWorkIsRefused(t *testing.T) {
+	s := newSystem(t, time.Millisecond)
+	settings := s.settings(1)
+	settings.Daemon.DrainNotice = 500 * time.Millisecond
+	d := s.start(settings)
+	s.apply(d, "ledgerdesk")
+	d.stop()
+	waitUntil(t, "health fails", func() bool { return d.call(http.MethodGet, "/health", "").status == http.StatusServiceUnavailable })
+	if state, _ := d.gate.current(); state == Notice {
+		if a := d.call(http.MethodGet, "/v1/services/ledgerdesk/records", ""); a.status != http.StatusOK {
+			if state, _ := d.gate.current(); state == Notice {
+				t.Errorf("refused within the notice: %+v", a)
+			}
+		}
+	}
+	waitUntil(t, "work is refused or the daemon is gone", func() bool {
+		a := d.call(http.MethodGet, "/v1/services/ledgerdesk/records", "")
+		return a.err != nil || a.fault(t).Kind == fault.Draining
+	})
+}
+
+func TestStopDuringPlatformOutageCutsNothing(t *testing.T) {
+	s := newSystem(t, 3*time.Second)
+	d := s.start(s.settings(1))
+	s.apply(d, "ledgerdesk")
+	answers := make(chan answer, 1)
+	go func() { answers <- d.call(http.MethodPost, "/v1/services/ledgerdesk/records", "{}") }()
+	waitUntil(t, "the request is in progress", func() bool { return s.plain.Counts().Runs == 1 || d.inProgress() == 1 })
+	s.fake.SetFaults(fakeplatform.Faults{Hang: true})
+	begin := time.Now()
+	d.stop()
+	if err := <-d.done; err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+	d.done <- nil
+	if a := <-answers; a.status != http.StatusOK {
+		t.Errorf("answer %+v", a)
+	}
+	if took := time.Since(begin); took > 15*time.Second {
+		t.Errorf("the stop took %v", took)
+	}
+}
+
+func TestRequestsCutAtTheEndOfTheDrainTimeAreTold(t *testing.T) {
+	s := newSystem(t, 3*time.Second)
+	settings := s.settings(1)
+	settings.Daemon.DrainTime = 100 * time.Millisecond
+	d := s.start(settings)
+	s.apply(d, "ledgerdesk")
+	answers := make(chan answer, 1)
+	go func() { answers <- d.call(http.MethodPost, "/v1/services/ledgerdesk/records", "{}") }()
+	waitUntil(t, "the request is in progress", func() bool { return d.inProgress() == 1 })
+	d.stop()
+	err := <-d.done
+	d.done <- nil
+	if err == nil || !strings.Contains(err.Error(), "1 requests were cut") || fault.RemedyOf(err) == "" {
+		t.Errorf("error %v", err)
+	}
+	if a := <-answers; a.status == http.StatusOK {
+		t.Errorf("answer %+v", a)
+	}
+	if alarms := d.modules.Alarms.Raised(); len(alarms) != 1 || alarms[0].Count != 1 {
+		t.Errorf("alarms %+v", alarms)
+	}
+	if !strings.Contains(d.log.String(), "event=103") {
+		t.Error("the log does not tell it")
+	}
+}
+
+func (d *testDaemon) inProgress() int {
+	_, progress := d.gate.current()
+	return progress
+}
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -103,6 +103,7 @@
 region = pk-south
 failure_domain = khi-a
 drain_time = 20s
+drain_notice = 0s
 [platform]
 address = %s
 weight_address = %s
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -31,6 +31,8 @@
 	tokenInterval     = 5 * time.Second  // between two stores of a trainer's newest token
 	claimRetention    = 24 * time.Hour   // a request key is remembered for this long
 	alarmClearAfter   = 30 * time.Second // an alarm clears without a new break
+	inForceLimit      = 10 * time.Second // a document is in force everywhere after this
+	inForceInterval   = time.Second      // between two looks at where documents are in force
 )
 
 // listeners are bound before any module exists, so that nothing half-starts.
@@ -63,6 +65,7 @@
 	Rollout   *rollout.Manager
 	Weights   *weights.Manager
 	Alarms    *alarm.Manager
+	InForce   *alarm.InForceWatch
 }
 
 // wire builds the modules from the settings.
@@ -121,6 +124,10 @@
 		provideAs[admission.Controller](new(admission.Admitter)),
 		provide(claims.NewManager),
 		provideAs[claims.Manager](new(claims.Claimer)),
+		provide(func() alarm.InForceConfig {
+			return alarm.InForceConfig{Limit: inForceLimit, Interval: inForceInterval}
+		}),
+		provide(alarm.NewInForceWatch),
 		provide(alarm.NewManager),
 		provideAs[alarm.Manager](new(alarm.Recorder)),
 		provide(newDispatch),
