--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -74,11 +74,15 @@
 	}
 }
 
-func rolloutConfig() rollout.Config {
+func rolloutConfig(s Settings) rollout.Config {
 	return rollout.Config{
-		GroupsInProgress: groupsInProgress,
-		StepRetention:    stepRetention,
-		TokenInterval:    tokenInterval,
+		GroupsInProgress:  s.Rollout.GroupsInProgress,
+		StepRetention:     stepRetention,
+		TokenInterval:     tokenInterval,
+		DisableHedging:    !s.Rollout.Hedging,
+		DisableCutStale:   !s.Rollout.CutStale,
+		DisableGroupOrder: !s.Rollout.GroupOrder,
+		DisableFreshness:  !s.Rollout.Freshness,
 	}
 }
 
--- a/daemon/schema.go
+++ b/daemon/schema.go
@@ -21,6 +21,7 @@
 		backendsSection(),
 		weightsSection(),
 		claimsSection(),
+		rolloutSection(),
 		logSection(),
 	}
 }
@@ -128,6 +129,20 @@
 	}
 }
 
+func rolloutSection() inifile.SectionSchema[Settings] {
+	return inifile.SectionSchema[Settings]{
+		Name: "rollout",
+		Text: "Samples for trainers. The switches are for comparison; leave them on.",
+		Keys: []inifile.KeySchema[Settings]{
+			inifile.Int("groups_in_progress", "groups", 64, 1, 10000, "Groups that this daemon runs at a time.", func(s *Settings) *int { return &s.Rollout.GroupsInProgress }),
+			inifile.Bool("hedging", true, "A sample that straggles may get a second attempt.", func(s *Settings) *bool { return &s.Rollout.Hedging }),
+			inifile.Bool("cut_stale", true, "Samples that are over the staleness bound already are cancelled.", func(s *Settings) *bool { return &s.Rollout.CutStale }),
+			inifile.Bool("group_order", true, "Groups run in the order that shortens the step.", func(s *Settings) *bool { return &s.Rollout.GroupOrder }),
+			inifile.Bool("freshness", true, "The preference for staleness takes effect.", func(s *Settings) *bool { return &s.Rollout.Freshness }),
+		},
+	}
+}
+
 func logSection() inifile.SectionSchema[Settings] {
 	return inifile.SectionSchema[Settings]{
 		Name: "log",
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -18,6 +18,7 @@
 	Backends BackendSettings
 	Weights  WeightSettings
 	Claims   ClaimSettings
+	Rollout  RolloutSettings
 	Log      LogSettings
 }
 
@@ -88,6 +89,15 @@
 	BatchInterval time.Duration
 }
 
+// RolloutSettings holds the [rollout] section.
+type RolloutSettings struct {
+	GroupsInProgress int
+	Hedging          bool
+	CutStale         bool
+	GroupOrder       bool
+	Freshness        bool
+}
+
 // LogLevel is the least severe level that is written.
 type LogLevel string
 
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -26,7 +26,6 @@
 const (
 	subsetSize        = 24               // servers of a pool that one daemon talks to
 	collectorsADomain = 2                //
-	groupsInProgress  = 64               // groups that one daemon runs at a time
 	stepRetention     = 2 * time.Hour    // an idle step is forgotten after this
 	tokenInterval     = 5 * time.Second  // between two stores of a trainer's newest token
 	claimRetention    = 24 * time.Hour   // a request key is remembered for this long
@@ -103,7 +102,7 @@
 		provide(func() routing.Config { return routingConfig(s) }),
 		provide(func() backend.Timeouts { return backendTimeouts(s) }),
 		provide(func() claims.Config { return claimsConfig(s) }),
-		provide(func() rollout.Config { return rolloutConfig() }),
+		provide(func() rollout.Config { return rolloutConfig(s) }),
 		provide(func() weights.Config { return weightsConfig(s) }),
 		provide(func() alarm.Config { return alarm.Config{ClearAfter: alarmClearAfter} }),
 
