event, daemon: catalogue page compared by a test; states of fleet, routing and claims

Cause: docs/EVENTS.md must not drift from the code; servers that say that they leave were not passed on to the fleet. Change: docs/EVENTS.md is generated and compared; routing reports leaving servers to the fleet; dump and metrics show fleet, routing and claims. Conclusion: tests of event and daemon pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,6 +71,7 @@
 		return fault.Wrap(err, fault.Internal, "the modules can't be wired", "report this defect", fault.WithOutcome(fault.NotRun))
 	}
 	d.modules = built
+	built.Routing.SetLeavingReporter(built.Fleet)
 	d.gate = newGate(d.isolated)
 	for _, part := range d.parts() {
 		r, ok := part.module.(registrar)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -90,7 +90,7 @@
 	for _, module := range dump.Modules {
 		shown[module.Module] = module.State != nil
 	}
-	for _, name := range []string{"platform", "peer", "dispatch", "weights", "rollout", "alarm"} {
+	for _, name := range []string{"platform", "peer", "fleet", "routing", "claims", "dispatch", "weights", "rollout", "alarm"} {
 		if !shown[name] {
 			t.Errorf("module %s is not in the dump", name)
 		}
@@ -99,7 +99,7 @@
 	if err := json.Unmarshal([]byte(d.call(http.MethodGet, "/debug/vars", "").body), &vars); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"process", "platform", "peer", "dispatch", "weights", "rollout", "alarm"} {
+	for _, name := range []string{"process", "platform", "peer", "fleet", "routing", "claims", "dispatch", "weights", "rollout", "alarm"} {
 		if vars[name] == nil {
 			t.Errorf("no metrics of %s", name)
 		}
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -8,9 +8,12 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/claims"
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/routing"
 )
 
 // Dump answers GET /v1/dump.
@@ -40,6 +43,12 @@
 		return m.Dump()
 	case *peer.Pool:
 		return m.Dump()
+	case *fleet.Manager:
+		return m.Dump()
+	case *routing.Store:
+		return m.Dump()
+	case *claims.Manager:
+		return m.Dump()
 	case *dispatch.Manager:
 		return m.Dump()
 	case dumper:
@@ -57,6 +66,12 @@
 		return m.Counters()
 	case *peer.Server:
 		return m.Counters()
+	case *fleet.Manager:
+		return m.Counters()
+	case *routing.Store:
+		return m.Counters()
+	case *claims.Manager:
+		return m.Counters()
 	case *dispatch.Manager:
 		return m.Counters()
 	case *alarm.Manager:
--- /dev/null
+++ b/event/catalogue_test.go
@@ -0,0 +1,62 @@
+package event
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the generated part of the page")
+
+func TestEventsPageEqualsCatalogue(t *testing.T) {
+	const path, begin, end = "../docs/EVENTS.md", "-update -->\n\n", "\n<!-- end -->"
+	page, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, rest, ok := strings.Cut(string(page), begin)
+	got, tail, ok2 := strings.Cut(rest, end)
+	if !ok || !ok2 {
+		t.Fatal("the page has no generated part")
+	}
+	want := table()
+	if *update {
+		if err := os.WriteFile(path, []byte(head+begin+want+end+tail), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if got == want {
+		return
+	}
+	t.Error("docs/EVENTS.md differs from the catalogue; run go test ./event -update")
+	reportMissing(t, "the page", got, want)
+	reportMissing(t, "the catalogue", want, got)
+}
+
+func table() string {
+	var b strings.Builder
+	b.WriteString("| event | level | message | meaning |\n| --- | --- | --- | --- |\n")
+	for _, e := range Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Level, e.Text, e.Meaning)
+	}
+	return b.String()
+}
+
+func reportMissing(t *testing.T, where, in, lines string) {
+	for _, line := range strings.Split(lines, "\n") {
+		if !strings.Contains(in, line) {
+			t.Errorf("not in %s: %s", where, line)
+		}
+	}
+}
+
+func TestEventsAreComplete(t *testing.T) {
+	for _, e := range Catalogue() {
+		if e.Number < 100 || e.Text == "" || e.Meaning == "" || strings.Contains(e.Text+e.Meaning, "|") {
+			t.Errorf("event %+v", e)
+		}
+	}
+}
