Keep all model work off replicas with a partial weight swap; confirm samples

Change: a whole version is required for every request, suspension forbids samples and is avoided by others. After a sample's end marker the engine's status is read once; the sample is void unless the engine reports one whole version, at least the sample's last, and was not seen partial since the attempt began. Streams report load and pace to routing; a claimed key whose request was not run is named as used up; an answer that breaks off ends the caller's connection.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -40,20 +41,18 @@
 func (m *Manager) runAttempts(ctx context.Context, w http.ResponseWriter, c *call, send exchange) error {
 	m.fillBudget(c)
 	unique := newID()
-	claimed := false
 	var tried []string
 	var last error
 	for number := 1; ; number++ {
 		lease, err := m.parts.Picker.Pick(ctx, c.routingRequest(tried))
 		if err != nil {
-			return firstError(last, err)
+			return c.final(firstError(last, err))
 		}
-		if !claimed {
+		if number == 1 {
 			if err := m.claim(ctx, c); err != nil {
-				lease.Done(nil, 0)
+				lease.Done(errNotSent, 0)
 				return err
 			}
-			claimed = true
 		}
 		a := attempt{call: c, id: attemptID(c.requestID, unique, number), number: number, lease: lease}
 		committed, err := m.try(ctx, w, a, send)
@@ -61,13 +60,27 @@
 			return nil
 		}
 		last = worse(last, err)
+		m.noteLeaving(c.document, lease.Replica.ID, err)
 		tried = append(tried, lease.Replica.ID)
 		if !m.mayRetry(ctx, c, number, err) {
-			return last
+			return c.final(last)
 		}
 	}
 }
 
+// errNotSent ends a lease whose request was not sent; it says nothing of the server.
+var errNotSent = fault.New(fault.Canceled, "the request was not sent", "", fault.WithOutcome(fault.NotRun))
+
+// final is the error that the caller gets. A key that was claimed is used up, though
+// the request was not run.
+func (c *call) final(err error) error {
+	if !c.claimed || fault.OutcomeOf(err) != fault.NotRun {
+		return err
+	}
+	return fault.Wrap(err, fault.KindOf(err), "the request was not run and its key is used up", "send it again with a new key",
+		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(fault.RetryAfterOf(err)))
+}
+
 // try runs one attempt and reports its end to routing.
 func (m *Manager) try(ctx context.Context, w http.ResponseWriter, a attempt, send exchange) (bool, error) {
 	m.count(func(c *Counters) { c.Attempts++ })
@@ -77,6 +90,10 @@
 	committed, err := send(ctx, w, a)
 	a.lease.Done(err, m.now().Sub(started))
 	m.noteRejected(a, err)
+	var cut *cutAnswer
+	if errors.As(err, &cut) {
+		panic(http.ErrAbortHandler)
+	}
 	return committed, err
 }
 
@@ -104,11 +121,13 @@
 	if c.idempotent || c.key == "" {
 		return nil
 	}
-	return m.parts.Claimer.Claim(ctx, claims.Claim{
+	err := m.parts.Claimer.Claim(ctx, claims.Claim{
 		Service:     c.document.Service,
 		Key:         c.key,
 		Fingerprint: c.fingerprint(),
 	})
+	c.claimed = err == nil
+	return err
 }
 
 // mayRetry allows another attempt of an idempotent call. A non-idempotent one is
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -49,6 +49,7 @@
 	deadline   time.Duration // from arrival
 	idempotent bool
 	key        string // request key, "" for none
+	claimed    bool   // the key is claimed for this call
 	team       string
 	priority   backend.Priority
 	prefixKey  string
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -28,6 +28,7 @@
 	admit    func() error
 	claims   []claims.Claim
 	claim    func(claims.Claim) error
+	status   backend.EngineStatus
 	engine   func(address string, r backend.GenerateRequest) (backend.Stream, error)
 	plain    func(address string, r *http.Request) (*http.Response, error)
 
@@ -40,7 +41,7 @@
 
 func newWorld(t *testing.T, servers ...string) *world {
 	t.Helper()
-	w := &world{kept: map[alarm.Promise]int{}, broken: map[alarm.Promise]int{}}
+	w := &world{status: backend.EngineStatus{Version: 8, Whole: true}, kept: map[alarm.Promise]int{}, broken: map[alarm.Promise]int{}}
 	for _, id := range servers {
 		w.servers = append(w.servers, fleet.Replica{ID: id, Pool: "pool", Address: id + ":1"})
 	}
@@ -151,7 +152,7 @@
 }
 
 func (s fakeServer) Status(context.Context) (backend.EngineStatus, error) {
-	return backend.EngineStatus{}, nil
+	return s.status, nil
 }
 func (s fakeServer) Stage(context.Context, backend.Order) error    { return nil }
 func (s fakeServer) Activate(context.Context, backend.Order) error { return nil }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/admission"
 	"github.com/hornbeamtide/hornbeamtide/backend"
@@ -13,6 +14,9 @@
 	"github.com/hornbeamtide/hornbeamtide/routing"
 )
 
+// confirmTimeout bounds the status call after a sample.
+const confirmTimeout = 3 * time.Second
+
 // Generate implements Generator.
 func (m *Manager) Generate(ctx context.Context, r SampleRequest) (Completion, error) {
 	if err := m.checkIsolation(); err != nil {
@@ -38,6 +42,7 @@
 	if err != nil {
 		return Completion{}, err
 	}
+	r.progress(lease.Replica.ID, 0)
 	started := m.now()
 	completion, err := m.sample(ctx, r, lease)
 	lease.Done(err, m.now().Sub(started))
@@ -68,7 +73,8 @@
 // completion holds only the tokens that were generated for nothing.
 func (m *Manager) sample(ctx context.Context, r SampleRequest, lease routing.Lease) (Completion, error) {
 	started := m.now()
-	stream, err := m.parts.Backends.Engine(lease.Replica.Address).Generate(ctx, backend.GenerateRequest{
+	engine := m.parts.Backends.Engine(lease.Replica.Address)
+	stream, err := engine.Generate(ctx, backend.GenerateRequest{
 		RequestID: r.RequestID,
 		Prompt:    r.Prompt,
 		MaxTokens: r.MaxTokens,
@@ -78,9 +84,12 @@
 	if err != nil {
 		return Completion{}, err
 	}
-	reader := newReader(stream, r.RequestID)
+	reader := newReader(stream, r.RequestID, lease, m.now)
 	defer reader.close()
-	text, err := collect(ctx, reader, r.OnVersion)
+	text, err := collect(ctx, reader, r, lease.Replica.ID)
+	if err == nil {
+		err = confirmWhole(ctx, engine, lease, reader.segments)
+	}
 	if err != nil {
 		return Completion{Tokens: reader.tokens}, err
 	}
@@ -94,8 +103,35 @@
 	}, nil
 }
 
+func (r SampleRequest) progress(replica string, tokens int) {
+	if r.OnProgress != nil {
+		r.OnProgress(replica, tokens)
+	}
+}
+
+// confirmWhole voids a sample whose engine does not report one whole version, at
+// least the sample's last one, or was seen after a partial swap meanwhile: such an
+// engine may go on naming its old version.
+func confirmWhole(ctx context.Context, engine backend.Engine, lease routing.Lease, segments []backend.Segment) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	status, err := engine.Status(ctx)
+	if err != nil {
+		return fault.Wrap(err, fault.Untagged, "the engine's weight version can't be confirmed", "generate the sample again",
+			fault.WithOutcome(fault.Unknown))
+	}
+	last := int64(0)
+	if len(segments) > 0 {
+		last = segments[len(segments)-1].Version
+	}
+	if !status.Whole || status.Version < last || (lease.Partial != nil && lease.Partial()) {
+		return broken(fault.Untagged, "the engine's weights were partly swapped")
+	}
+	return nil
+}
+
 // collect reads the whole completion. A chunk without a weight version voids it.
-func collect(ctx context.Context, reader *reader, onVersion func(int64) error) (string, error) {
+func collect(ctx context.Context, reader *reader, r SampleRequest, replica string) (string, error) {
 	var text strings.Builder
 	for {
 		segments := len(reader.segments)
@@ -109,11 +145,12 @@
 		if chunk.Tokens > 0 && chunk.Version <= 0 {
 			return "", broken(fault.Untagged, "a chunk names no weight version")
 		}
-		if len(reader.segments) > segments && onVersion != nil {
-			if err := onVersion(chunk.Version); err != nil {
+		if len(reader.segments) > segments && r.OnVersion != nil {
+			if err := r.OnVersion(chunk.Version); err != nil {
 				return "", err
 			}
 		}
+		r.progress(replica, reader.tokens)
 		text.WriteString(chunk.Text)
 	}
 }
--- a/dispatch/manager.go
+++ b/dispatch/manager.go
@@ -36,12 +36,13 @@
 
 	mu       sync.Mutex
 	budgets  map[string]*retryBudget // by service
+	leaving  map[string]time.Time    // first refusal of a leaving server, by replica ID
 	counters Counters
 }
 
 // NewManager returns a Manager.
 func NewManager(parts Parts) *Manager {
-	return &Manager{parts: parts, now: time.Now, budgets: make(map[string]*retryBudget)}
+	return &Manager{parts: parts, now: time.Now, budgets: make(map[string]*retryBudget), leaving: make(map[string]time.Time)}
 }
 
 // ServeHTTP serves /v1/services/{service}/*: the path below the service's root goes
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return false, err
 	}
-	reader := newReader(stream, a.id)
+	reader := newReader(stream, a.id, a.lease, m.now)
 	defer reader.close()
 	out := newEventWriter(w)
 	for {
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -5,11 +5,12 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/backend"
-	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/routing"
 )
 
 // Sizes of an answer on its way to the caller, bytes.
@@ -32,12 +33,13 @@
 	if err := checkAnswer(response, a.id); err != nil {
 		return false, err
 	}
+	reportLoad(a.lease, response.Header)
 	if isEventStream(response) {
 		return true, m.passOn(w, a, response, nil)
 	}
 	held, whole, err := hold(response.Body)
 	if err != nil {
-		return false, fault.Wrap(err, fault.Truncated, "read the answer of "+a.lease.Replica.ID,
+		return false, fault.Wrap(err, cutKind(err), "read the answer of "+a.lease.Replica.ID,
 			"look up whether the request took effect", fault.WithOutcome(fault.Unknown))
 	}
 	if whole {
@@ -59,6 +61,16 @@
 	return nil
 }
 
+// reportLoad passes on the load that a plain service reports of itself.
+func reportLoad(lease routing.Lease, header http.Header) {
+	running, err := strconv.Atoi(header.Get(backend.HeaderRunning))
+	if err != nil || lease.Load == nil {
+		return
+	}
+	waiting, _ := strconv.Atoi(header.Get(backend.HeaderWaiting))
+	lease.Load(backend.Load{Running: running, Waiting: waiting})
+}
+
 func notStarted(leaving bool) error {
 	if leaving {
 		return fault.New(fault.Draining, "the backend server is leaving", "retry", fault.WithOutcome(fault.NotRun))
@@ -90,7 +102,7 @@
 		return fault.Wrap(err, fault.Canceled, "write to caller", "", fault.WithOutcome(fault.Unknown))
 	}
 	if err := copyFlushed(w, response.Body); err != nil {
-		m.abort(a, err)
+		return m.noteCut(a, err)
 	}
 	m.noteWhole(a, 0)
 	return serverError(response.StatusCode)
@@ -127,9 +139,14 @@
 	}
 }
 
-// abort ends the caller's connection in the middle of an answer.
-func (m *Manager) abort(a attempt, err error) {
-	a.lease.Done(err, 0)
+// cutAnswer is the error of an answer that broke off in its middle; the caller's
+// connection is ended.
+type cutAnswer struct{ cause error }
+
+func (c *cutAnswer) Error() string { return c.cause.Error() }
+func (c *cutAnswer) Unwrap() error { return c.cause }
+
+func (m *Manager) noteCut(a attempt, err error) error {
 	m.count(func(c *Counters) { c.Cut++; c.countOutcome(fault.Unknown) })
 	if !fault.Is(err, fault.Canceled) && !fault.Is(err, fault.Deadline) {
 		m.parts.Recorder.Broken(alarm.WholeAnswers, alarm.Evidence{
@@ -139,8 +156,15 @@
 			At:      m.now(),
 		})
 	}
-	m.parts.Log.Log(event.AnswerRejected, event.F("request", a.id), event.Err(err))
-	panic(http.ErrAbortHandler)
+	return &cutAnswer{cause: fault.Wrap(err, cutKind(err), "the answer broke off", "", fault.WithOutcome(fault.Unknown))}
+}
+
+// cutKind is the kind of a read error, which need not be one of package fault.
+func cutKind(err error) fault.Kind {
+	if kind := fault.KindOf(err); kind != fault.Internal {
+		return kind
+	}
+	return fault.Truncated
 }
 
 // serverError reports an answer of a failing server to routing; the caller has it.
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/backend"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/routing"
 )
 
 // reader reads one completion and checks that it is whole: every chunk carries the
@@ -21,9 +23,16 @@
 	tokens   int
 	ended    bool
 	segments []backend.Segment
+	pace     pace
 }
 
-func newReader(stream backend.Stream, id string) *reader { return &reader{stream: stream, id: id} }
+// newReader returns a reader that reports load and pace to the lease.
+func newReader(stream backend.Stream, id string, lease routing.Lease, now func() time.Time) *reader {
+	if load, ok := stream.Load(); ok && lease.Load != nil {
+		lease.Load(load)
+	}
+	return &reader{stream: stream, id: id, pace: pace{report: lease.Progress, now: now, since: now()}}
+}
 
 // next returns the next chunk, io.EOF after the whole completion, or an error with
 // an outcome.
@@ -61,6 +70,7 @@
 func (r *reader) take(chunk backend.Chunk) {
 	r.ended = chunk.End
 	r.tokens += chunk.Tokens
+	r.pace.add(chunk.Tokens, chunk.End)
 	if chunk.Tokens == 0 {
 		return
 	}
@@ -87,6 +97,27 @@
 	return fault.Wrap(err, fault.KindOf(err), "read stream", "", fault.WithOutcome(fault.Unknown))
 }
 
+// paceTokens is the number of tokens between two reports of a stream's pace.
+const paceTokens = 16
+
+// pace reports how long a stream's tokens take.
+type pace struct {
+	report func(tokens int, elapsed time.Duration) // may be nil
+	now    func() time.Time
+	since  time.Time
+	tokens int
+}
+
+func (p *pace) add(tokens int, end bool) {
+	p.tokens += tokens
+	if p.report == nil || p.tokens == 0 || (p.tokens < paceTokens && !end) {
+		return
+	}
+	now := p.now()
+	p.report(p.tokens, now.Sub(p.since))
+	p.since, p.tokens = now, 0
+}
+
 // eventWriter writes a completion to a caller as server-sent events.
 type eventWriter struct {
 	w       http.ResponseWriter
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -18,15 +18,27 @@
 	return !slices.Contains(r.Exclude, c.State.Replica.ID)
 }
 
-// SuspendedFilter keeps sample work off replicas whose weights are being switched
-// or that do not report one whole version.
+// WholeFilter drops replicas that report no whole weight version: after a partial
+// swap their answers are of mixed weights, whatever version they name.
+type WholeFilter struct{}
+
+// Keep implements Filter.
+func (WholeFilter) Keep(_ Request, c *Candidate) bool { return c.State.Whole }
+
+// SuspendedFilter keeps sample work off suspended replicas.
 type SuspendedFilter struct{}
 
 // Keep implements Filter.
 func (SuspendedFilter) Keep(r Request, c *Candidate) bool {
-	return !r.Sample || (c.State.Whole && !c.State.Suspended)
+	return !r.Sample || !c.State.Suspended
 }
 
+// SwitchingFilter drops suspended replicas for all work.
+type SwitchingFilter struct{}
+
+// Keep implements Filter.
+func (SwitchingFilter) Keep(_ Request, c *Candidate) bool { return !c.State.Suspended }
+
 // FullFilter drops replicas with as many requests of this daemon as they may have.
 type FullFilter struct{}
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -17,8 +17,8 @@
 		bound = defaultLoadBound
 	}
 	p := policy{
-		requirements: []Filter{LeavingFilter{}, ExcludeFilter{}, SuspendedFilter{}, FullFilter{}},
-		preferences:  []Filter{FailingFilter{}},
+		requirements: []Filter{LeavingFilter{}, ExcludeFilter{}, WholeFilter{}, SuspendedFilter{}, FullFilter{}},
+		preferences:  []Filter{SwitchingFilter{}, FailingFilter{}},
 		scorer:       LoadScorer{},
 	}
 	switch name {
--- a/routing/poll.go
+++ b/routing/poll.go
@@ -128,6 +128,9 @@
 	r.report(status.Load, now)
 	r.state.Version = status.Version
 	r.state.Whole = status.Whole
+	if !status.Whole {
+		r.partial++
+	}
 	if status.Leaving {
 		s.markLeaving(r, now)
 	} else {
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -20,6 +20,7 @@
 	health      health
 	ownAtReport int       // own requests in progress when the load was reported
 	resume      int64     // version that ends the suspension
+	partial     int64     // times that a partial swap was seen
 	saidLeaving time.Time // when the server itself said so, zero if it did not
 	busyUntil   time.Time // it refused work because of its load
 	wanted      time.Time // last time a choice considered the replica
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -19,7 +19,7 @@
 	Reported  time.Time // when the load was reported
 	Version   int64     // reported weight version, 0 unknown
 	Whole     bool      // false after the replica reported a partial swap; true while unknown
-	Suspended bool      // takes no sample work, a weight swap is in progress or failed
+	Suspended bool      // takes no sample work until it reports the whole version after a partial swap
 	Failing   bool      // recent requests or polls failed on fresh connections
 	Leaving   bool      // the list or the server itself says that it takes no new work
 	Slowness  float64   // own latency over the pool's median, 1 while unknown
@@ -32,7 +32,7 @@
 	Service     string
 	Pool        string
 	Key         string   // prefix or group key, "" for unkeyed work
-	Sample      bool     // generates a sample: needs a whole version
+	Sample      bool     // generates a sample: not on suspended replicas
 	Exclude     []string // replica IDs tried before
 	MaxInFlight int      // requests in progress a server from one daemon, 0 for no limit
 }
@@ -44,6 +44,9 @@
 	Done    func(err error, duration time.Duration)
 	// Progress reports that so many more tokens took the given time.
 	Progress func(tokens int, elapsed time.Duration)
+	// Partial tells whether the server was seen after a partial weight swap since the
+	// choice.
+	Partial func() bool
 	// Load reports the load that came with the server's response.
 	Load func(l backend.Load)
 }
--- a/routing/store.go
+++ b/routing/store.go
@@ -87,7 +87,7 @@
 func refusal(r Request, p *pool, now time.Time) error {
 	for _, rep := range p.whole {
 		c := Candidate{State: rep.snapshot(now)}
-		open := LeavingFilter{}.Keep(r, &c) && ExcludeFilter{}.Keep(r, &c) && SuspendedFilter{}.Keep(r, &c)
+		open := LeavingFilter{}.Keep(r, &c) && ExcludeFilter{}.Keep(r, &c) && WholeFilter{}.Keep(r, &c) && SuspendedFilter{}.Keep(r, &c)
 		if open {
 			return fault.New(fault.Overloaded, "all backend servers of pool "+r.Pool+" are full",
 				"retry later", fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
@@ -185,6 +185,7 @@
 
 func (s *Store) lease(rep *replica, started time.Time, trial bool) Lease {
 	var once sync.Once
+	partial := rep.partial
 	return Lease{
 		Replica: rep.state.Replica,
 		Done: func(err error, duration time.Duration) {
@@ -195,6 +196,11 @@
 			rep.latency.observeTokens(tokens, elapsed)
 			s.mu.Unlock()
 		},
+		Partial: func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return rep.partial != partial || !rep.state.Whole
+		},
 		Load: func(load backend.Load) {
 			s.mu.Lock()
 			rep.report(load, s.now())
@@ -252,5 +258,6 @@
 		s.log.Log(event.ReplicaSuspended, event.F("replica", replicaID), event.F("version", min))
 	}
 	rep.state.Suspended = true
+	rep.partial++
 	rep.resume = max(rep.resume, min)
 }
--- a/routing/store_test.go
+++ b/routing/store_test.go
@@ -99,9 +99,19 @@
 			t.Errorf("%+v: sample work was let through: %v", status, err)
 		}
 	}
-	w.pick(t, Request{})
+	if _, err := w.store.Pick(t.Context(), Request{Pool: "pool"}); fault.OutcomeOf(err) != fault.NotRun {
+		t.Errorf("a request went to a replica with mixed weights: %v", err)
+	}
 	w.store.report(w.servers[0], backend.EngineStatus{Version: 8, Whole: true})
-	w.pick(t, Request{Sample: true})
+	lease := w.pick(t, Request{Sample: true})
+	if lease.Partial() {
+		t.Error("a whole replica counts as partial")
+	}
+	w.store.report(w.servers[0], backend.EngineStatus{Version: 8})
+	w.store.report(w.servers[0], backend.EngineStatus{Version: 9, Whole: true})
+	if !lease.Partial() {
+		t.Error("a partial swap during the request went unnoticed")
+	}
 }
 
 func TestSilentConnectionsDoNotTakeAServerDown(t *testing.T) {
