--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -174,12 +175,16 @@
 	return nil
 }
 
-// matchesAny compares with the decoded path, so that an escaped spelling of a
-// non-idempotent path is caught too.
+// matchesAny compares with the decoded and cleaned path too, so that no spelling of a
+// non-idempotent path passes for another one.
 func matchesAny(matches []document.Match, method, fullPath, service string) bool {
-	path := "/" + strings.TrimPrefix(strings.TrimPrefix(fullPath, servicesRoot+service), "/")
+	plain := "/" + strings.TrimPrefix(strings.TrimPrefix(fullPath, servicesRoot+service), "/")
+	clean := path.Clean(plain)
 	for _, match := range matches {
-		if (match.Method == "*" || match.Method == method) && strings.HasPrefix(path, match.Path) {
+		if match.Method != "*" && match.Method != method {
+			continue
+		}
+		if strings.HasPrefix(plain, match.Path) || strings.HasPrefix(clean, match.Path) {
 			return true
 		}
 	}
