--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/platform"
@@ -29,6 +30,7 @@
 
 	daemonProgram  string
 	standinProgram string
+	mu             sync.Mutex
 	processes      []*Process
 	client         *http.Client
 }
@@ -45,6 +47,12 @@
 	}, nil
 }
 
+// UsePlatform makes daemons use a platform and a weight store of another process.
+func (c *Cluster) UsePlatform(platform, weights string) {
+	c.Platform = &Process{Name: "platform", Address: platform}
+	c.Weights = &Process{Name: "weights", Address: weights}
+}
+
 // Close ends all processes and removes the logs unless keep is set.
 func (c *Cluster) Close(keep bool) {
 	for i := len(c.processes) - 1; i >= 0; i-- {
@@ -110,7 +118,9 @@
 	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
 	c.processes = append(c.processes, p)
+	c.mu.Unlock()
 	err = c.WaitFor(ctx, name+" answers", func() bool {
 		return p.Exited() || c.Get(ctx, address, readyPath, nil) == nil
 	})
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	addCommand(parser, "engine", "Run one model engine", &engineCommand{})
 	addCommand(parser, "plain", "Run one plain service", &plainCommand{})
 	addCommand(parser, "demo", "Run the whole path on loopback", &demoCommand{})
+	addCommand(parser, "slopes", "Measure what daemons cost at several fleet sizes", &slopesCommand{})
 	_, err := parser.Parse()
 	var failure *flags.Error
 	switch {
--- /dev/null
+++ b/standin/cmd/standin/slopes.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/slopes"
+)
+
+type slopesCommand struct {
+	programOptions
+	Examples string `long:"examples" description:"folder with documents" default:"examples"`
+	Layouts  string `long:"layouts" description:"daemons/domains/replicas, a trailing w also measures work; several by commas; empty: the usual ones"`
+	Results  string `long:"results" description:"JSON file to write" default:"bench/results/slopes.json"`
+	Page     string `long:"page" description:"page to write, empty for standard output" default:"docs/CAPACITY.md"`
+}
+
+// Execute implements flags.Commander.
+func (c *slopesCommand) Execute([]string) error {
+	daemon, _, err := c.programs()
+	if err != nil {
+		return err
+	}
+	layouts := slopes.DefaultLayouts
+	if c.Layouts != "" {
+		if layouts, err = parseLayouts(c.Layouts); err != nil {
+			return err
+		}
+	}
+	return slopes.Run(context.Background(), slopes.Options{
+		Daemon: daemon, Examples: c.Examples, Layouts: layouts, Results: c.Results, Page: c.Page, Out: os.Stdout,
+	})
+}
+
+func parseLayouts(text string) ([]slopes.Layout, error) {
+	var layouts []slopes.Layout
+	for _, part := range strings.Split(text, ",") {
+		var l slopes.Layout
+		trimmed, work := strings.CutSuffix(part, "w")
+		l.Work = work
+		if _, err := fmt.Sscanf(trimmed, "%d/%d/%d", &l.Daemons, &l.Domains, &l.Replicas); err != nil {
+			return nil, fmt.Errorf("layout %q: %w", part, err)
+		}
+		layouts = append(layouts, l)
+	}
+	return layouts, nil
+}
--- a/standin/fakeengine/engine.go
+++ b/standin/fakeengine/engine.go
@@ -66,6 +66,8 @@
 	BusyTime      time.Duration    `json:"busy_ns"`         // time with a batch
 	FencedOrders  int64            `json:"fenced_orders"`   // orders refused for an old fencing number
 	Activations   int64            `json:"activations"`     // versions made active
+	ActivatedAt   time.Time        `json:"activated_at"`    // the last of them
+	Orders        int64            `json:"orders"`          // orders taken, refused ones included
 	RunsByRequest map[string]int64 `json:"runs_by_request"` // starts by request id
 }
 
--- a/standin/fakeengine/swap.go
+++ b/standin/fakeengine/swap.go
@@ -18,6 +18,7 @@
 
 // checkFence refuses an order whose fencing number is old.
 func (e *Engine) checkFence(o backend.Order) error {
+	e.counts.Orders++
 	if !e.config.ChecksFencing {
 		return nil
 	}
@@ -89,6 +90,7 @@
 	}
 	e.version, e.whole = o.Version, true
 	e.counts.Activations++
+	e.counts.ActivatedAt = time.Now()
 	return nil
 }
 
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/daemon"
@@ -72,6 +73,8 @@
 
 	platformAddress string
 	weightAddress   string
+	platformTraffic atomic.Int64
+	engineTraffic   atomic.Int64
 	servers         []*http.Server
 	client          *http.Client
 	log             io.Writer
@@ -86,10 +89,10 @@
 		log:      log,
 	}
 	var err error
-	if _, s.platformAddress, err = s.serve(s.Platform.Handler()); err != nil {
+	if _, s.platformAddress, err = s.serve(s.Platform.Handler(), &s.platformTraffic); err != nil {
 		return nil, err
 	}
-	if _, s.weightAddress, err = s.serve(s.Weights.Handler()); err != nil {
+	if _, s.weightAddress, err = s.serve(s.Weights.Handler(), nil); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -102,14 +105,15 @@
 	pollInterval = 20 * time.Millisecond
 )
 
-func (s *System) serve(handler http.Handler) (*http.Server, string, error) {
+// serve serves on a free port and adds the bytes of its connections to traffic, if any.
+func (s *System) serve(handler http.Handler, traffic *atomic.Int64) (*http.Server, string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: callTimeout}
 	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(meteredListener{listener, traffic}) }()
 	return server, listener.Addr().String(), nil
 }
 
@@ -133,7 +137,7 @@
 	config.WeightAddress = s.weightAddress
 	engine := &Engine{Engine: fakeengine.New(config), ID: config.ID}
 	var err error
-	if engine.server, engine.Address, err = s.serve(engine.Handler()); err != nil {
+	if engine.server, engine.Address, err = s.serve(engine.Handler(), &s.engineTraffic); err != nil {
 		return nil, err
 	}
 	s.Engines = append(s.Engines, engine)
@@ -145,7 +149,7 @@
 func (s *System) StartPlain(config fakeplain.Config, pool string, place Place) (*Plain, error) {
 	plain := &Plain{Server: fakeplain.New(config), ID: config.ID}
 	var err error
-	if _, plain.Address, err = s.serve(plain.Handler()); err != nil {
+	if _, plain.Address, err = s.serve(plain.Handler(), nil); err != nil {
 		return nil, err
 	}
 	s.Plains = append(s.Plains, plain)
--- /dev/null
+++ b/standin/slopes/analyze.go
@@ -0,0 +1,217 @@
+package slopes
+
+// Results are the figures of a run and the lines through them.
+type Results struct {
+	Layouts []Measured `json:"layouts"`
+
+	// Rates of a daemon; regressors: replicas polled, daemons in the fleet.
+	MemberCPU      fit `json:"member_cpu"`
+	MemberBytes    fit `json:"member_bytes"`
+	MemberMessages fit `json:"member_messages"`
+	MemberMemory   fit `json:"member_memory"`
+
+	// Rates of a collecting daemon beside those of a member; regressors: members
+	// served, other collectors, daemons in the fleet.
+	CollectorCPU      fit `json:"collector_cpu"`
+	CollectorBytes    fit `json:"collector_bytes"`
+	CollectorMessages fit `json:"collector_messages"`
+	CollectorMemory   fit `json:"collector_memory"`
+
+	// Platform calls of the whole fleet while idle; regressor: collectors.
+	PlatformReads  fit     `json:"platform_reads"`
+	PlatformWrites fit     `json:"platform_writes"`
+	Watches        fit     `json:"watches"`
+	PollBytes      float64 `json:"poll_bytes"`
+
+	// A document change; regressor: members served by a collector.
+	ChangeMemberCPU      float64 `json:"change_member_cpu_s"`
+	ChangeMemberBytes    float64 `json:"change_member_bytes"`
+	ChangeCollectorCPU   fit     `json:"change_collector_cpu_s"`
+	ChangeCollectorBytes fit     `json:"change_collector_bytes"`
+	ChangeReads          float64 `json:"change_platform_reads"`
+	ChangeWrites         float64 `json:"change_platform_writes"`
+	InForce              fit     `json:"in_force_s"` // slowest daemon; regressor: daemons
+	InForceMax           float64 `json:"in_force_max_s"`
+
+	// A weight version; regressor: replicas.
+	WaveTotal  fit `json:"wave_total_s"`
+	WaveSpread fit `json:"wave_spread_s"`
+	WaveOrders fit `json:"wave_orders"`
+
+	// Work; the regressor is the count of units, tokens for streams.
+	PlainCPU    fit     `json:"plain_cpu_s"`
+	StreamCPU   fit     `json:"stream_cpu_s"`
+	ClaimCPU    fit     `json:"claim_cpu_s"`
+	ClaimBytes  fit     `json:"claim_bytes"`
+	ClaimWrites fit     `json:"claim_writes"`
+	ClaimReads  fit     `json:"claim_reads"`
+	StepCPU     fit     `json:"step_cpu_s"`
+	StepBytes   fit     `json:"step_bytes"`
+	StepPeak    fit     `json:"step_peak_bytes"` // the busiest daemon
+	StepCalls   fit     `json:"step_messages"`
+	StepWrites  fit     `json:"step_writes"`
+	StepReads   fit     `json:"step_reads"`
+	WorkMemory  float64 `json:"work_memory"` // largest of any daemon while working
+
+	StreamRequests float64 `json:"stream_requests"` // of one stream measurement
+}
+
+// analyze fits the lines.
+func analyze(all []Measured) (Results, error) {
+	r := Results{Layouts: all}
+	var f fitter
+	f.members(&r, all)
+	f.collectors(&r, all)
+	f.platform(&r, all)
+	f.changes(&r, all)
+	f.waves(&r, all)
+	f.work(&r, all)
+	return r, f.err
+}
+
+// fitter fits lines and keeps the first error.
+type fitter struct {
+	err error
+}
+
+func (f *fitter) fit(observations []observation) fit {
+	line, err := leastSquares(observations)
+	if err != nil && f.err == nil {
+		f.err = err
+	}
+	return line
+}
+
+func (f *fitter) members(r *Results, all []Measured) {
+	lines := map[*fit]func(member) float64{
+		&r.MemberCPU:      func(m member) float64 { return m.CPU },
+		&r.MemberBytes:    func(m member) float64 { return m.Bytes },
+		&r.MemberMessages: func(m member) float64 { return m.Messages },
+		&r.MemberMemory:   func(m member) float64 { return m.Memory },
+	}
+	for line, value := range lines {
+		var observations []observation
+		each(all, false, func(m member) {
+			observations = append(observations, observation{[]float64{m.Replicas, m.Daemons}, value(m)})
+		})
+		*line = f.fit(observations)
+	}
+}
+
+// collectors fits what collecting daemons spend beyond the members' line.
+func (f *fitter) collectors(r *Results, all []Measured) {
+	lines := map[*fit]func(member) float64{
+		&r.CollectorCPU:      func(m member) float64 { return m.CPU - r.MemberCPU.at(m.Replicas, m.Daemons) },
+		&r.CollectorBytes:    func(m member) float64 { return m.Bytes - r.MemberBytes.at(m.Replicas, m.Daemons) },
+		&r.CollectorMessages: func(m member) float64 { return m.Messages - r.MemberMessages.at(m.Replicas, m.Daemons) },
+		&r.CollectorMemory:   func(m member) float64 { return m.Memory - r.MemberMemory.at(m.Replicas, m.Daemons) },
+	}
+	for line, value := range lines {
+		var observations []observation
+		each(all, true, func(m member) {
+			observations = append(observations, observation{[]float64{m.Attendees, m.Collectors, m.Daemons}, value(m)})
+		})
+		*line = f.fit(observations)
+	}
+}
+
+// each calls visit with the rates of all daemons that collect, or that do not.
+func each(all []Measured, collecting bool, visit func(member)) {
+	for _, layout := range all {
+		for _, m := range append(layout.bare[:len(layout.bare):len(layout.bare)], layout.idle...) {
+			if m.Collecting == collecting {
+				visit(m)
+			}
+		}
+	}
+}
+
+func (f *fitter) platform(r *Results, all []Measured) {
+	var reads, writes, watches []observation
+	polls := 0.0
+	for _, m := range all {
+		x := []float64{m.collectors()}
+		reads = append(reads, observation{x, m.PlatformReads})
+		writes = append(writes, observation{x, m.PlatformWrites})
+		watches = append(watches, observation{x, m.Watches})
+		polls += m.PollBytes / float64(len(all))
+	}
+	r.PlatformReads, r.PlatformWrites, r.Watches, r.PollBytes = f.fit(reads), f.fit(writes), f.fit(watches), polls
+}
+
+func (m Measured) collectors() float64 {
+	n := 0.0
+	for _, daemon := range m.idle {
+		if daemon.Collecting {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fitter) changes(r *Results, all []Measured) {
+	var cpu, bytes, force []observation
+	n := float64(len(all))
+	for _, m := range all {
+		x := []float64{m.Changes.AttendeesServed}
+		cpu = append(cpu, observation{x, m.Changes.CollectorCPU})
+		bytes = append(bytes, observation{x, m.Changes.CollectorBytes})
+		r.ChangeMemberCPU += m.Changes.MemberCPU / n
+		r.ChangeMemberBytes += m.Changes.MemberBytes / n
+		r.ChangeReads += m.Changes.PlatformReads / n
+		r.ChangeWrites += m.Changes.PlatformWrites / n
+		for _, took := range m.InForce {
+			force = append(force, observation{[]float64{float64(m.Daemons)}, took})
+			r.InForceMax = max(r.InForceMax, took)
+		}
+	}
+	r.ChangeCollectorCPU, r.ChangeCollectorBytes, r.InForce = f.fit(cpu), f.fit(bytes), f.fit(force)
+}
+
+func (f *fitter) waves(r *Results, all []Measured) {
+	var total, spread, orders []observation
+	for _, m := range all {
+		for _, w := range m.Waves {
+			x := []float64{float64(m.Replicas)}
+			total = append(total, observation{x, w.Total})
+			spread = append(spread, observation{x, w.Spread})
+			orders = append(orders, observation{x, w.Orders})
+		}
+	}
+	r.WaveTotal, r.WaveSpread, r.WaveOrders = f.fit(total), f.fit(spread), f.fit(orders)
+}
+
+func (f *fitter) work(r *Results, all []Measured) {
+	units := func(c cost) float64 { return c.Units }
+	tokens := func(c cost) float64 { return c.Tokens }
+	line := func(pick func(*work) []cost, x, y func(cost) float64) fit {
+		var observations []observation
+		for _, m := range all {
+			if m.Work == nil {
+				continue
+			}
+			for _, c := range pick(m.Work) {
+				observations = append(observations, observation{[]float64{x(c)}, y(c)})
+				r.WorkMemory = max(r.WorkMemory, c.Memory)
+			}
+		}
+		return f.fit(observations)
+	}
+	plain := func(w *work) []cost { return w.Plain }
+	streams := func(w *work) []cost { return w.Streams }
+	claims := func(w *work) []cost { return w.Claims }
+	steps := func(w *work) []cost { return w.Steps }
+	cpu := func(c cost) float64 { return c.CPU }
+	bytes := func(c cost) float64 { return c.Bytes }
+	writes := func(c cost) float64 { return c.Writes }
+	reads := func(c cost) float64 { return c.Reads }
+	r.PlainCPU = line(plain, units, cpu)
+	r.StreamCPU = line(streams, tokens, cpu)
+	r.StreamRequests = streamRate * workWindow.Seconds()
+	r.ClaimCPU, r.ClaimBytes = line(claims, units, cpu), line(claims, units, bytes)
+	r.ClaimWrites, r.ClaimReads = line(claims, units, writes), line(claims, units, reads)
+	r.StepCPU, r.StepBytes = line(steps, units, cpu), line(steps, units, bytes)
+	r.StepPeak = line(steps, units, func(c cost) float64 { return c.Peak })
+	r.StepCalls = line(steps, units, func(c cost) float64 { return c.Calls })
+	r.StepWrites, r.StepReads = line(steps, units, writes), line(steps, units, reads)
+}
--- /dev/null
+++ b/standin/slopes/fleet.go
@@ -0,0 +1,147 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/cluster"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplain"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeweights"
+	"github.com/hornbeamtide/hornbeamtide/standin/local"
+)
+
+// Layout is one fleet that is measured.
+type Layout struct {
+	Daemons  int  `json:"daemons"`
+	Domains  int  `json:"domains"`
+	Replicas int  `json:"replicas"`
+	Work     bool `json:"work"` // also requests, claims, steps and weights
+}
+
+const (
+	region        = "pk-south"
+	modelService  = "draftpool"
+	plainService  = "ledgerdesk"
+	startAtOnce   = 16
+	engineBatch   = 256
+	engineToken   = 200 * time.Microsecond
+	engineBatched = time.Microsecond
+	medianTokens  = 1 << 20 // completions have the length that the request asks for
+)
+
+// fleet is one running layout: daemons are processes of their own, so that each one's
+// processor time and memory can be read; the stand-ins run in this process.
+type fleet struct {
+	layout  Layout
+	system  *local.System
+	cluster *cluster.Cluster
+	daemons []*cluster.Process
+}
+
+func startFleet(ctx context.Context, program, examples string, layout Layout) (*fleet, error) {
+	system, err := local.New(fakeweights.Config{LoadTime: 20 * time.Millisecond, LoadSlots: 8}, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	processes, err := cluster.New(program, "")
+	if err != nil {
+		system.Close()
+		return nil, err
+	}
+	processes.UsePlatform(system.PlatformAddress(), system.WeightAddress())
+	f := &fleet{layout: layout, system: system, cluster: processes}
+	if err := f.start(ctx); err != nil {
+		f.cluster.PrintLogs(os.Stderr, 5)
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) close() {
+	f.cluster.Close(false)
+	f.system.Close()
+}
+
+func (f *fleet) start(ctx context.Context) error {
+	f.system.Weights.Publish(modelService, 1)
+	for i := range f.layout.Replicas {
+		config := fakeengine.Config{
+			ID: fmt.Sprintf("engine-%03d", i), Pool: modelService, Version: 1, MaxBatch: engineBatch,
+			TokenTime: engineToken, BatchTime: engineBatched, PrefillTime: time.Microsecond, MedianTokens: medianTokens,
+		}
+		if _, err := f.system.StartEngine(config, local.Place(f.place(i))); err != nil {
+			return err
+		}
+	}
+	for i := range 3 {
+		config := fakeplain.Config{ID: fmt.Sprintf("plain-%d", i), ServiceTime: time.Millisecond}
+		if _, err := f.system.StartPlain(config, plainService, local.Place(f.place(i))); err != nil {
+			return err
+		}
+	}
+	f.daemons = make([]*cluster.Process, f.layout.Daemons)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(startAtOnce)
+	for i := range f.daemons {
+		group.Go(func() error {
+			daemon := cluster.Daemon{ID: fmt.Sprintf("daemon-%03d", i), Place: f.place(i), Settings: "[log]\nlevel = error\n"}
+			var err error
+			f.daemons[i], err = f.cluster.StartDaemon(ctx, daemon)
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+func (f *fleet) place(i int) cluster.Place {
+	return cluster.Place{Region: region, FailureDomain: fmt.Sprintf("domain-%d", i%f.layout.Domains)}
+}
+
+// applyDocuments puts both services' documents in force.
+func (f *fleet) applyDocuments(ctx context.Context, examples string) error {
+	for _, service := range []string{modelService, plainService} {
+		source, err := os.ReadFile(filepath.Join(examples, "documents", service+".ini"))
+		if err != nil {
+			return err
+		}
+		f.system.Apply(service, source)
+	}
+	for _, daemon := range f.daemons {
+		err := f.cluster.WaitFor(ctx, daemon.Name+" has both documents", func() bool {
+			infos, err := f.documents(ctx, daemon)
+			return err == nil && len(infos) == 2
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// documentInfo is one entry of GET /v1/documents.
+type documentInfo struct {
+	Service string `json:"service"`
+	Version int64  `json:"version"`
+}
+
+func (f *fleet) documents(ctx context.Context, daemon *cluster.Process) ([]documentInfo, error) {
+	var infos []documentInfo
+	err := f.cluster.Get(ctx, daemon.Address, "/v1/documents", &infos)
+	return infos, err
+}
+
+func (f *fleet) addresses() []string {
+	var addresses []string
+	for _, daemon := range f.daemons {
+		addresses = append(addresses, daemon.Address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/standin/slopes/work.go
@@ -0,0 +1,182 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/rollout"
+	"github.com/hornbeamtide/hornbeamtide/standin/caller"
+	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
+)
+
+// pace calls send rate times a second for the given time, each call on a goroutine of
+// its own, waits for all and returns how many there were.
+func pace(rate float64, duration time.Duration, send func(i int)) int {
+	interval := time.Duration(float64(time.Second) / rate)
+	total := int(rate * duration.Seconds())
+	started := time.Now()
+	var group sync.WaitGroup
+	for i := range total {
+		time.Sleep(time.Until(started.Add(time.Duration(i) * interval)))
+		group.Go(func() { send(i) })
+	}
+	group.Wait()
+	return total
+}
+
+// plainRequests sends idempotent requests, or claimed ones, and returns how many were
+// answered.
+func (f *fleet) plainRequests(ctx context.Context, client *caller.Client, run string, rate float64, duration time.Duration, claimed bool) int {
+	var answered atomic.Int64
+	pace(rate, duration, func(i int) {
+		id := fmt.Sprintf("%s-%d", run, i)
+		r := caller.Request{Service: plainService, Method: http.MethodGet, Path: "/members/1", ID: id}
+		if claimed {
+			r.Method, r.Path, r.Key, r.Body = http.MethodPost, "/billing", id, []byte(id)
+		}
+		if client.Plain(ctx, r).Outcome == caller.OK {
+			answered.Add(1)
+		}
+	})
+	return int(answered.Load())
+}
+
+// streams sends generate requests and returns answered requests and their tokens.
+func (f *fleet) streams(ctx context.Context, client *caller.Client, run string, rate float64, duration time.Duration, tokens int) (answered, generated int) {
+	var requests, total atomic.Int64
+	pace(rate, duration, func(i int) {
+		r := caller.Request{
+			Service: modelService, ID: fmt.Sprintf("%s-%d", run, i), Seed: int64(i), MaxTokens: tokens,
+			Prompt: fmt.Sprintf("question %d", i),
+		}
+		if result := client.Generate(ctx, r); result.Outcome == caller.OK {
+			requests.Add(1)
+			total.Add(int64(result.Tokens))
+		}
+	})
+	return int(requests.Load()), int(total.Load())
+}
+
+// trainingStep runs one step of groups of 8 samples.
+func (f *fleet) trainingStep(ctx context.Context, name string, number int64, samples int) (trainer.Result, error) {
+	t := trainer.New(trainer.Config{
+		Name: name, Service: modelService, Daemons: f.addresses(), Bound: 2,
+		Version: func() int64 { return 1 }, Max: 128,
+	})
+	if err := t.Open(ctx); err != nil {
+		return trainer.Result{}, err
+	}
+	var groups []rollout.Group
+	for i := range samples / groupSize {
+		id := fmt.Sprintf("group-%d", i)
+		groups = append(groups, rollout.Group{ID: id, Prompt: id, Samples: groupSize, MaxTokens: sampleTokens})
+	}
+	return t.Step(ctx, number, groups, func(int) {})
+}
+
+const (
+	groupSize    = 8
+	sampleTokens = 64
+)
+
+// changeDocument writes a new revision of the plain service's document through a random
+// daemon and returns its version.
+func (f *fleet) changeDocument(ctx context.Context, random *rand.Rand, source []byte, version int64) (int64, error) {
+	daemon := f.daemons[random.IntN(len(f.daemons))]
+	return putDocument(ctx, daemon.Address, plainService, source, version)
+}
+
+// waitInForce waits until all daemons have the version in force and returns how long
+// that took.
+func (f *fleet) waitInForce(ctx context.Context, version int64) (time.Duration, error) {
+	started := time.Now()
+	behind := f.daemons
+	for len(behind) > 0 {
+		next := behind[:0:0]
+		for _, daemon := range behind {
+			infos, err := f.documents(ctx, daemon)
+			if err != nil {
+				return 0, err
+			}
+			if !hasVersion(infos, version) {
+				next = append(next, daemon)
+			}
+		}
+		behind = next
+		if time.Since(started) > inForceLimit {
+			return 0, fmt.Errorf("version %d is not in force on %d daemons after %s", version, len(behind), inForceLimit)
+		}
+		if len(behind) > 0 {
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	return time.Since(started), nil
+}
+
+const inForceLimit = 15 * time.Second
+
+func hasVersion(infos []documentInfo, version int64) bool {
+	for _, info := range infos {
+		if info.Service == plainService {
+			return info.Version >= version
+		}
+	}
+	return false
+}
+
+// waves is how weights reached the engines.
+type waves struct {
+	Total  float64 `json:"total_s"`  // from publication until all engines have the version
+	Spread float64 `json:"spread_s"` // from the first to the last activation
+	Orders float64 `json:"orders"`   // orders that engines took
+}
+
+// publish publishes a version and waits until all engines have it active.
+func (f *fleet) publish(version int64) (waves, error) {
+	before := f.orders()
+	started := time.Now()
+	f.system.Weights.Publish(modelService, version)
+	for {
+		active := 0
+		for _, e := range f.system.Engines {
+			if e.Status().Version == version {
+				active++
+			}
+		}
+		if active == len(f.system.Engines) {
+			break
+		}
+		if time.Since(started) > wavesLimit {
+			return waves{}, fmt.Errorf("weights on %d of %d engines after %s", active, len(f.system.Engines), wavesLimit)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	w := waves{Total: time.Since(started).Seconds(), Orders: f.orders() - before}
+	var first, last time.Time
+	for _, e := range f.system.Engines {
+		at := e.Counts().ActivatedAt
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	w.Spread = last.Sub(first).Seconds()
+	return w, nil
+}
+
+const wavesLimit = 30 * time.Second
+
+func (f *fleet) orders() float64 {
+	total := 0.0
+	for _, e := range f.system.Engines {
+		total += float64(e.Counts().Orders)
+	}
+	return total
+}
