--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -61,12 +61,12 @@
 	s.apply(d, "ledgerdesk")
 	s.fake.SetFaults(fakeplatform.Faults{Outage: true})
 	waitUntil(t, "health fails", func() bool { return d.call(http.MethodGet, "/health", "").status == http.StatusServiceUnavailable })
-	runs := s.plain.Counts().Runs
+	runs := s.plain.runs.Load()
 	refused := d.call(http.MethodGet, "/v1/services/ledgerdesk/records/1", "")
 	if body := refused.fault(t); body.Kind != fault.Isolated || body.Outcome != fault.NotRun || body.Remedy == "" {
 		t.Errorf("refusal %+v", body)
 	}
-	if s.plain.Counts().Runs != runs {
+	if s.plain.runs.Load() != runs {
 		t.Error("a request said not run was run")
 	}
 	if alarms := d.modules.Alarms.Raised(); len(alarms) != 0 {
@@ -90,7 +90,7 @@
 	for _, module := range dump.Modules {
 		shown[module.Module] = module.State != nil
 	}
-	for _, name := range []string{"platform", "peer", "dispatch", "weights", "rollout", "alarm"} {
+	for _, name := range []string{"platform", "peer", "fleet", "routing", "claims", "dispatch", "weights", "rollout", "alarm"} {
 		if !shown[name] {
 			t.Errorf("module %s is not in the dump", name)
 		}
@@ -99,7 +99,7 @@
 	if err := json.Unmarshal([]byte(d.call(http.MethodGet, "/debug/vars", "").body), &vars); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"process", "platform", "peer", "dispatch", "weights", "rollout", "alarm"} {
+	for _, name := range []string{"process", "platform", "peer", "fleet", "routing", "claims", "dispatch", "weights", "rollout", "alarm"} {
 		if vars[name] == nil {
 			t.Errorf("no metrics of %s", name)
 		}
