Weights: a pull that names a newer version wakes the keeper; waves start when staging ends

Cause: samples were cut over and over. After a trainer published, the keeper saw it at its next poll and began the wave at the poll after staging, so engines ran a version that was over the bound already, and a cut sample began again on it.

A sample that is cut on a replica which itself lags pauses and leaves that replica. A trainer's word on the version no longer counts for other trainers.

--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -28,6 +28,7 @@
 	since   time.Time // when it was chosen
 	tokens  int       // so far
 	oldest  int64     // oldest version so far, 0 for none
+	latest  int64     // version of the latest segment
 }
 
 // attemptResult is the end of an attempt.
@@ -107,6 +108,7 @@
 func (a *attempt) addVersion(version int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.latest = version
 	if a.oldest == 0 {
 		a.oldest = version
 		return false
@@ -129,6 +131,15 @@
 	return oldest > 0 && m.newest(doc.Pool)-oldest > bound
 }
 
+// lagging reports whether the replica itself runs a version that is over the bound, so
+// that to begin again on it at once would be cut again.
+func (a *attempt) lagging(doc *document.Document) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	bound := min(int64(a.j.group.definition.Bound), int64(doc.Samples.StalenessBound))
+	return a.latest > 0 && a.j.m.newest(doc.Pool)-a.latest > bound
+}
+
 // betterFresh reports whether the staleness preference begins the sample again on the
 // newer version: once a sample, and only while little of it was generated.
 func (j *job) betterFresh(a *attempt, doc *document.Document) bool {
--- a/rollout/front.go
+++ b/rollout/front.go
@@ -145,7 +145,7 @@
 	if err := m.sessions.check(ctx, trainer, token.Epoch); err != nil {
 		return err
 	}
-	m.observe(doc.Pool, pull.Version)
+	m.hint(doc.Pool, pull.Version)
 	p := &pullCall{
 		m:        m,
 		token:    token,
--- a/rollout/job.go
+++ b/rollout/job.go
@@ -31,6 +31,7 @@
 	exclude   []string // replicas of the latest failed attempts
 	hedged    bool     // the one hedge was used
 	freshened bool     // the one restart on a newer version was used
+	lagged    bool     // the last attempt was cut on a replica that lags behind the bound
 
 	mu       sync.Mutex
 	attached int       // runs that wait for it
@@ -116,7 +117,8 @@
 }
 
 // run makes attempts with a backoff until one is whole or the job is cancelled. A
-// sample that was cut as stale starts again without a pause.
+// sample that was cut as stale starts again without a pause, unless its replica itself
+// lags behind the bound.
 func (j *job) run() {
 	defer close(j.done)
 	backoff := attemptBackoff
@@ -128,9 +130,12 @@
 		}
 		if isCut(err) {
 			j.m.counters.cut.Add(1)
-			continue
+			if !j.lagged {
+				continue
+			}
+		} else {
+			j.m.counters.failed.Add(1)
 		}
-		j.m.counters.failed.Add(1)
 		j.m.parts.Log.Log(event.RolloutSampleFailed, event.F("step", j.key.step.placement()), event.F("sample", j.key.id), event.Err(err))
 		j.pause(backoff)
 		backoff = min(2*backoff, attemptBackoffMost)
@@ -159,11 +164,14 @@
 	for failed := 0; ; {
 		select {
 		case r := <-results:
+			j.lagged = isCut(r.err) && j.lags(r.attempt)
 			if r.err == nil {
 				j.countWin(r.attempt, attempts)
 				return r.completion, nil
 			}
-			j.avoid(r.attempt.replicaID())
+			if !isCut(r.err) || j.lagged {
+				j.avoid(r.attempt.replicaID())
+			}
 			failed++
 			if failed == len(attempts) {
 				return dispatch.Completion{}, r.err
@@ -177,6 +185,12 @@
 	}
 }
 
+// lags reports whether the attempt's replica lags behind the staleness bound.
+func (j *job) lags(a *attempt) bool {
+	doc, err := j.m.document(j.group.definition.Service)
+	return err == nil && a.lagging(doc)
+}
+
 // avoid keeps the next attempts away from a replica whose attempt failed.
 func (j *job) avoid(replica string) {
 	if replica == "" {
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -177,7 +177,14 @@
 	return v.Document, nil
 }
 
-// observe records a weight version that was seen in use or named by a trainer.
+// hint passes on that a trainer named a version. Its word counts for its own pull only.
+func (m *Manager) hint(pool string, version int64) {
+	if h, ok := m.parts.Versions.(weights.Hinter); ok && version > 0 {
+		h.Hint(pool, version)
+	}
+}
+
+// observe records a weight version that was seen in use.
 func (m *Manager) observe(pool string, version int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/weights/keeper.go
+++ b/weights/keeper.go
@@ -32,6 +32,7 @@
 	lease         *lease
 	stop          context.CancelFunc
 	checksFencing atomic.Bool
+	wake          chan struct{} // asks for a round before the next poll
 
 	mu       sync.Mutex
 	target   int64           // version that the pool is being brought to
@@ -46,6 +47,7 @@
 	return &keeper{
 		m:       m,
 		pool:    pool,
+		wake:    make(chan struct{}, 1),
 		lease:   newLease(m.parts.Store, pool, m.parts.View.Self().ID, m.config.Lease, m.now),
 		staging: map[string]bool{},
 		partial: map[string]bool{},
@@ -134,10 +136,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-k.wake:
 		}
 	}
 }
 
+// hurry has the next round begin at once.
+func (k *keeper) hurry() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // poll does one round: as keeper of the pool or as one who asks the keeper.
 func (k *keeper) poll(ctx context.Context) {
 	if _, left := k.may(); left <= 0 {
@@ -295,19 +306,9 @@
 		k.stepDown()
 		return
 	}
-	if err == nil && ctx.Err() == nil {
-		k.stageNext(ctx, version)
-	}
-}
-
-// stageNext starts the next stage order without waiting for the next poll.
-func (k *keeper) stageNext(ctx context.Context, version int64) {
-	if k.m.Newest(k.pool) != version {
-		return
+	if err == nil {
+		k.hurry()
 	}
-	replicas := k.m.parts.View.Replicas(k.pool)
-	reports := k.m.surveyAll(ctx, targetsOf(replicas))
-	k.stageMissing(ctx, version, replicas, reports)
 }
 
 // takeReports keeps replicas with an incomplete swap out of sample work and steps
--- a/weights/manager.go
+++ b/weights/manager.go
@@ -54,6 +54,7 @@
 	counters counters
 	orders   orderLocks
 	tickets  tickets
+	hints    hints
 
 	mu     sync.Mutex
 	newest map[string]news    // by pool
--- a/weights/service.go
+++ b/weights/service.go
@@ -62,8 +62,9 @@
 	return &weightspb.AnnounceReply{}, nil
 }
 
-// Newest returns what this daemon knows of the pool.
+// Newest returns what this daemon knows of the pool and follows a hint.
 func (s *service) Newest(_ context.Context, r *weightspb.NewestRequest) (*weightspb.NewestReply, error) {
+	s.m.followHint(r.Pool, r.Hint)
 	return &weightspb.NewestReply{Version: s.m.Newest(r.Pool)}, nil
 }
 
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -6,3 +6,9 @@
 type Versions interface {
 	Newest(pool string) int64
 }
+
+// Hinter takes hints that a version may have been published: the pool's keeper then
+// reads the weight store at once. A hint proves nothing and changes nothing else.
+type Hinter interface {
+	Hint(pool string, version int64)
+}
