routing: slow replicas are found from token times and left out but for probes

Each daemon took seconds to find the slow engine: a pace report covered 16 tokens and the wait in the engine's queue, which made busy replicas look slow.

Change: each chunk after the first reports its token time. A replica whose speed is not known while that of most is gets one request at a time; one four times slower than the median gets none but a probe at most every 30 s and 200 choices, with samples where the pool has them.

Ruled out: a threshold of 3 times the median marked healthy engines slow during weight swaps (ratios 3.0 to 3.4 in the log).

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -31,7 +31,7 @@
 	if load, ok := stream.Load(); ok && lease.Load != nil {
 		lease.Load(load)
 	}
-	return &reader{stream: stream, id: id, pace: pace{report: lease.Progress, now: now, since: now()}}
+	return &reader{stream: stream, id: id, pace: pace{report: lease.Progress, now: now}}
 }
 
 // next returns the next chunk, io.EOF after the whole completion, or an error with
@@ -70,7 +70,7 @@
 func (r *reader) take(chunk backend.Chunk) {
 	r.ended = chunk.End
 	r.tokens += chunk.Tokens
-	r.pace.add(chunk.Tokens, chunk.End)
+	r.pace.add(chunk.Tokens)
 	if chunk.Tokens == 0 {
 		return
 	}
@@ -97,25 +97,25 @@
 	return fault.Wrap(err, fault.KindOf(err), "read stream", "", fault.WithOutcome(fault.Unknown))
 }
 
-// paceTokens is the number of tokens between two reports of a stream's pace.
-const paceTokens = 16
-
-// pace reports how long a stream's tokens take.
+// pace reports how long a stream's tokens take once it flows: the wait for the first
+// chunk tells of the queue, not of the server's speed.
 type pace struct {
 	report func(tokens int, elapsed time.Duration) // may be nil
 	now    func() time.Time
-	since  time.Time
-	tokens int
+	since  time.Time // last chunk, zero before the first
 }
 
-func (p *pace) add(tokens int, end bool) {
-	p.tokens += tokens
-	if p.report == nil || p.tokens == 0 || (p.tokens < paceTokens && !end) {
+func (p *pace) add(tokens int) {
+	if p.since.IsZero() {
+		p.since = p.now()
+		return
+	}
+	if p.report == nil || tokens == 0 {
 		return
 	}
 	now := p.now()
-	p.report(p.tokens, now.Sub(p.since))
-	p.since, p.tokens = now, 0
+	p.report(tokens, now.Sub(p.since))
+	p.since = now
 }
 
 // eventWriter writes a completion to a caller as server-sent events.
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -56,6 +56,22 @@
 	return !c.State.Failing || c.ProbeDue
 }
 
+// SlowFilter drops replicas that are several times slower than their pool, but for
+// probes.
+type SlowFilter struct{}
+
+// Keep implements Filter.
+func (SlowFilter) Keep(_ Request, c *Candidate) bool { return !c.State.Slow || c.ProbeDue }
+
+// SlowStartFilter lets a replica of unknown speed have one request of this daemon at a
+// time, so that a slow one shows before it holds many.
+type SlowStartFilter struct{}
+
+// Keep implements Filter.
+func (SlowStartFilter) Keep(_ Request, c *Candidate) bool {
+	return !c.State.Unproven || c.State.InFlight == 0
+}
+
 // BusyFilter drops replicas that just refused a request because of their load.
 type BusyFilter struct{}
 
--- a/routing/latency.go
+++ b/routing/latency.go
@@ -8,7 +8,8 @@
 // Limits of the latency comparison.
 const (
 	latencyWeight   = 0.2 // weight of a new observation
-	minObservations = 5   // before a replica is compared with its pool
+	probeWeight     = 0.5 // the same for a slow replica, which is observed seldom
+	minObservations = 3   // before a replica is compared with its pool
 	minCompared     = 2   // replicas with enough observations before any is compared
 	slowRatio       = 4.0 // slowness from which a replica counts as slow
 	normalRatio     = 2.0 // slowness below which it no longer does
@@ -20,14 +21,13 @@
 	count int
 }
 
-func (m *meter) observe(seconds float64) {
+func (m *meter) observe(seconds, weight float64) {
 	m.count++
 	if m.count == 1 {
 		m.mean = seconds
 		return
 	}
-	weight := max(latencyWeight, 1/float64(m.count))
-	m.mean += weight * (seconds - m.mean)
+	m.mean += max(weight, 1/float64(m.count)) * (seconds - m.mean)
 }
 
 // latency is what this daemon observed of one replica. Streams are compared by time
@@ -37,14 +37,21 @@
 	request meter
 }
 
-func (l *latency) observeTokens(tokens int, elapsed time.Duration) {
+func (r *replica) observeTokens(tokens int, elapsed time.Duration) {
 	if tokens > 0 && elapsed > 0 {
-		l.token.observe(elapsed.Seconds() / float64(tokens))
+		r.latency.token.observe(elapsed.Seconds()/float64(tokens), r.weight())
 	}
 }
 
-func (l *latency) observeRequest(duration time.Duration) {
-	l.request.observe(duration.Seconds())
+func (r *replica) observeRequest(duration time.Duration) {
+	r.latency.request.observe(duration.Seconds(), r.weight())
+}
+
+func (r *replica) weight() float64 {
+	if r.state.Slow {
+		return probeWeight
+	}
+	return latencyWeight
 }
 
 // compareLatencies sets the slowness of the replicas against their median. It
@@ -66,10 +73,12 @@
 	if len(means) < minCompared {
 		return nil
 	}
+	most := 2*len(means) > len(replicas)
 	slices.Sort(means)
 	median := means[(len(means)-1)/2]
 	for _, r := range replicas {
 		m := meterOf(r)
+		r.state.Unproven = most && m.count < minObservations
 		if m.count < minObservations || median <= 0 {
 			continue
 		}
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -30,7 +30,7 @@
 		p.scorer = ReportedScorer{}
 		p.choosers = []Chooser{LeastChooser{}}
 	default:
-		p.preferences = append(p.preferences, BusyFilter{})
+		p.preferences = append(p.preferences, SlowFilter{}, SlowStartFilter{}, BusyFilter{})
 		p.choosers = []Chooser{ProbeChooser{}, PrefixChooser{bound}, LocalChooser{bound}, TwoChoiceChooser{}}
 	}
 	return p
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -17,12 +17,13 @@
 
 // pool is what the choice needs of one pool, guarded by Store.mu.
 type pool struct {
-	refreshed time.Time
-	whole     []*replica // ordered by ID
-	subset    []*replica // of whole
-	ringIDs   []string   // replicas that take new work, ordered
-	ring      *rendezvous.Rendezvous
-	picks     int64
+	refreshed  time.Time
+	whole      []*replica // ordered by ID
+	subset     []*replica // of whole
+	ringIDs    []string   // replicas that take new work, ordered
+	ring       *rendezvous.Rendezvous
+	picks      int64
+	lastSample time.Time
 }
 
 // refresh reads the pool from the view when the last read is old.
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -10,7 +10,8 @@
 // Probes of slow replicas, which otherwise may get no request that shows a change.
 const (
 	probePicks    = 200              // choices of the pool from one probe to the next
-	probeInterval = 30 * time.Second // longest time between two probes
+	probeInterval = 30 * time.Second // shortest time between two probes
+	probeAnyway   = 5 * time.Minute  // longest time between two probes, however few the choices
 )
 
 // replica is the mutable state of one backend server, guarded by Store.mu.
@@ -52,13 +53,17 @@
 	return max(float64(r.state.Running+r.state.Waiting-r.ownAtReport), 0), true
 }
 
-// probeDue reports that a failing or slow replica is due for one trial request.
-func (r *replica) probeDue(picks int64, now time.Time) bool {
+// probeDue reports that a failing or slow replica is due for one trial request. Slow
+// ones are tried with samples where the pool has them, since no caller waits there.
+func (r *replica) probeDue(c choiceContext) bool {
 	if r.state.Failing {
 		return r.health.halfOpen && !r.health.trial
 	}
-	return r.state.Slow && r.state.InFlight == 0 &&
-		(picks-r.probePicks >= probePicks || now.Sub(r.lastProbe) >= probeInterval)
+	if !r.state.Slow || r.state.InFlight > 0 || (c.samples && !c.sample) {
+		return false
+	}
+	waited := c.now.Sub(r.lastProbe)
+	return (waited >= probeInterval && c.picks-r.probePicks >= probePicks) || waited >= probeAnyway
 }
 
 // leaving reports whether list or server says that the replica takes no new work.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -24,6 +24,7 @@
 	Leaving   bool      // the list or the server itself says that it takes no new work
 	Slowness  float64   // own latency over the pool's median, 1 while unknown
 	Busy      bool      // just refused a request because of its load
+	Unproven  bool      // its latency is not known yet, that of most others is
 	Slow      bool      // several times slower than the pool
 }
 
--- a/routing/steps_test.go
+++ b/routing/steps_test.go
@@ -32,6 +32,10 @@
 		{"no limit", FullFilter{}, Request{}, Candidate{State: ReplicaState{InFlight: 99}}, true},
 		{"failing", FailingFilter{}, Request{}, Candidate{State: ReplicaState{Failing: true}}, false},
 		{"failing, trial", FailingFilter{}, Request{}, Candidate{State: ReplicaState{Failing: true}, ProbeDue: true}, true},
+		{"slow", SlowFilter{}, Request{}, Candidate{State: ReplicaState{Slow: true}}, false},
+		{"slow, probe", SlowFilter{}, Request{}, Candidate{State: ReplicaState{Slow: true}, ProbeDue: true}, true},
+		{"unproven", SlowStartFilter{}, Request{}, Candidate{State: ReplicaState{Unproven: true}}, true},
+		{"unproven with a request", SlowStartFilter{}, Request{}, Candidate{State: ReplicaState{Unproven: true, InFlight: 1}}, false},
 		{"busy", BusyFilter{}, Request{}, Candidate{State: ReplicaState{Busy: true}}, false},
 	}
 	for _, row := range table {
--- a/routing/store.go
+++ b/routing/store.go
@@ -71,6 +71,9 @@
 	now := s.now()
 	p := s.refresh(r.Pool, now)
 	p.picks++
+	if r.Sample {
+		p.lastSample = now
+	}
 	s.counters.Picks++
 	chosen, ok := s.policy.choose(s.random, r, s.candidates(p, r, now))
 	if !ok {
@@ -100,7 +103,7 @@
 // candidates returns the subset and the two replicas of the request's key.
 func (s *Store) candidates(p *pool, r Request, now time.Time) []Candidate {
 	first, second := p.keyCandidates(r.Key)
-	shared := choiceContext{now: now, picks: p.picks, domain: s.view.Self().FailureDomain, unknown: meanOthers(p.subset)}
+	shared := choiceContext{now: now, picks: p.picks, sample: r.Sample, samples: now.Sub(p.lastSample) < probeInterval, domain: s.view.Self().FailureDomain, unknown: meanOthers(p.subset)}
 	out := make([]Candidate, 0, len(p.subset)+2)
 	for _, rep := range p.subset {
 		out = append(out, rep.candidate(shared, rankOf(rep, first, second)))
@@ -145,6 +148,8 @@
 type choiceContext struct {
 	now     time.Time
 	picks   int64   // choices of the pool so far
+	sample  bool    // the request is a sample
+	samples bool    // the pool generated samples lately
 	domain  string  // the daemon's failure domain
 	unknown float64 // assumed load by other daemons of a replica without reports
 }
@@ -160,7 +165,7 @@
 		Rank:     rank,
 		InSubset: r.inSubset,
 		Local:    r.state.Replica.FailureDomain == c.domain,
-		ProbeDue: r.probeDue(c.picks, c.now),
+		ProbeDue: r.probeDue(c),
 		Load:     others + float64(r.state.InFlight),
 	}
 }
@@ -193,7 +198,7 @@
 		},
 		Progress: func(tokens int, elapsed time.Duration) {
 			s.mu.Lock()
-			rep.latency.observeTokens(tokens, elapsed)
+			rep.observeTokens(tokens, elapsed)
 			s.mu.Unlock()
 		},
 		Partial: func() bool {
@@ -240,7 +245,7 @@
 func (r *replica) observe(err error, duration time.Duration) {
 	unfinished := fault.Is(err, fault.Deadline) || fault.Is(err, fault.Canceled)
 	if err == nil || (unfinished && duration.Seconds() > r.latency.request.mean) {
-		r.latency.observeRequest(duration)
+		r.observeRequest(duration)
 	}
 }
 
--- a/routing/store_test.go
+++ b/routing/store_test.go
@@ -184,7 +184,7 @@
 }
 
 // runLoad keeps so many requests in progress until total were sent, and returns how
-// many each replica got. The slow replica takes ten times as long as the others.
+// many each replica got. The slow replica takes five times as long as the others.
 func runLoad(t *testing.T, w *world, total, inFlight int, slow string) map[string]int {
 	type running struct {
 		lease    Lease
@@ -202,7 +202,7 @@
 		counts[lease.Replica.ID]++
 		duration := 100 * time.Millisecond
 		if lease.Replica.ID == slow {
-			duration *= 10
+			duration *= 5
 		}
 		requests = append(requests, running{lease, duration, w.now().Add(duration)})
 		for len(requests) >= inFlight {
@@ -225,10 +225,10 @@
 func TestSlowReplicaGetsLittleWork(t *testing.T) {
 	w := newWorld("", 8)
 	counts := runLoad(t, w, 10000, 160, "r003")
-	if !w.state("r003").Slow || counts["r003"] > 100 {
+	if !w.state("r003").Slow || counts["r003"] > 50 {
 		t.Errorf("slow replica took %d of 10000 requests, slow %v", counts["r003"], w.state("r003").Slow)
 	}
-	runLoad(t, w, 10000, 8, "") // healthy again, and so little load that only probes show it
+	runLoad(t, w, 20000, 8, "") // healthy again, and so little load that only probes show it
 	if w.state("r003").Slow {
 		t.Error("a replica as fast as its pool still counts as slow")
 	}
