admission: requests in progress paced by what the servers end in time

The limit that falls with late ends reacts too slowly and starts too high.

Change: per class, the requests in progress are bounded by the rate at which the servers end them in time, times a share of the deadline (more where servers that are not loaded need more); the rest of the deadline is for the queue. The expected run counts one and a half times when a wait is weighed against a deadline.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -281,3 +282,41 @@
 	}
 	return inTime
 }
+
+// TestServersThatNeedMostOfTheDeadlineAreUsed offers 40 requests a second to servers
+// that take 1.5 s for each, however many, with a deadline of 2.5 s.
+func TestServersThatNeedMostOfTheDeadlineAreUsed(t *testing.T) {
+	const took, deadline = 1500 * time.Millisecond, 2500 * time.Millisecond
+	b := newBench(t, 1000, 1000)
+	ends := map[*waiter]time.Time{}
+	var queued []*waiter
+	inTime := 0
+	for step := range 4000 { // of 25 ms
+		b.clock = b.clock.Add(25 * time.Millisecond)
+		if w, err := b.ask("a", backend.PriorityInteractive, deadline); err == nil {
+			queued = append(queued, w)
+		}
+		queued = slices.DeleteFunc(queued, func(w *waiter) bool {
+			if len(w.ready) == 0 {
+				return false
+			}
+			if err := <-w.ready; err == nil {
+				ends[w] = b.clock.Add(took)
+			}
+			return true
+		})
+		for w, end := range ends {
+			if b.clock.Before(end) {
+				continue
+			}
+			delete(ends, w)
+			b.release(t.Context(), w)
+			if step >= 2000 {
+				inTime++
+			}
+		}
+	}
+	if inTime < 1800 {
+		t.Errorf("%d of 2000 requests in time", inTime)
+	}
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -67,6 +67,9 @@
 	}
 	s := c.service(t)
 	w := newWaiter(ctx, t, s, now)
+	if !w.deadline.IsZero() {
+		s.paces[w.class].arrived(w.deadline.Sub(now))
+	}
 	if err := c.checkDeadline(s, w, now); err != nil {
 		return nil, err
 	}
@@ -82,7 +85,7 @@
 func (c *Controller) service(t Ticket) *service {
 	s := c.services[t.Document.Service]
 	if s == nil {
-		s = newService(t.Document.Service)
+		s = newService(t.Document.Service, func() time.Time { return c.now() })
 		c.services[t.Document.Service] = s
 	}
 	s.document = t.Document
--- a/admission/service.go
+++ b/admission/service.go
@@ -13,8 +13,8 @@
 	drainRetry      = time.Second            // before a draining daemon's callers try elsewhere
 	minRetry        = 100 * time.Millisecond // shortest advice to wait
 	shedLogInterval = time.Second            // between two log entries about refusals
+	runMargin       = 1.5                    // times the mean duration that a request is expected to run
 	guardTurns      = 8                      // each so many starts one goes to a less important class first
-	durationWeight  = 0.1                    // of a new duration in the mean
 )
 
 const classes = int(backend.PriorityInteractive) + 1
@@ -31,7 +31,9 @@
 type service struct {
 	name     string
 	document *document.Document
+	now      func() time.Time
 	limit    limit
+	paces    [classes]pace
 	inFlight int
 	waiting  int
 	starts   int // since the start, for the guard against starvation
@@ -56,12 +58,13 @@
 	class    int
 	deadline time.Time // zero for none
 	enqueued time.Time
+	calm     bool       // nothing waited or little ran when it started
 	started  time.Time  // zero when it did not run
 	ready    chan error // buffered: nil when it may start
 }
 
-func newService(name string) *service {
-	return &service{name: name, teams: make(map[string]*team)}
+func newService(name string, now func() time.Time) *service {
+	return &service{name: name, now: now, teams: make(map[string]*team)}
 }
 
 func newWaiter(ctx context.Context, t Ticket, s *service, now time.Time) *waiter {
@@ -171,6 +174,9 @@
 	if allowed == 0 {
 		return true
 	}
+	if paced, ok := s.paces[class].allowed(s.now(), s.limit.floor); ok && s.paces[class].inFlight >= paced {
+		return false
+	}
 	if divisor := reservedShare[class]; divisor > 0 {
 		allowed -= allowed / divisor
 	}
@@ -204,7 +210,9 @@
 	s.virtual = max(s.virtual, t.virtual)
 	t.virtual += 1 / float64(weight)
 	t.inFlight++
+	w.calm = s.waiting == 0 || s.inFlight <= floorAllowance*s.limit.floor
 	s.inFlight++
+	s.paces[w.class].inFlight++
 	s.starts++
 	w.started = now
 }
@@ -216,16 +224,16 @@
 	s.forget(t)
 	saturated := s.waiting > 0 || !s.hasRoom(0)
 	s.inFlight--
+	s.paces[w.class].inFlight--
 	if w.started.IsZero() {
 		return
 	}
 	s.limit.ended(late, saturated)
 	took := now.Sub(w.started)
-	if s.duration[w.class] == 0 {
-		s.duration[w.class] = took
-		return
+	s.duration[w.class] = mean(s.duration[w.class], took)
+	if !late {
+		s.paces[w.class].ends(now, took, w.calm)
 	}
-	s.duration[w.class] += time.Duration(durationWeight * float64(took-s.duration[w.class]))
 }
 
 // tooLate reports whether a request that waited would end after its deadline.
@@ -235,7 +243,7 @@
 	}
 	needed := time.Duration(0)
 	if now.After(w.enqueued) {
-		needed = s.duration[w.class]
+		needed = time.Duration(runMargin * float64(s.duration[w.class]))
 	}
 	return !now.Add(needed).Before(w.deadline)
 }
@@ -252,7 +260,11 @@
 		}
 	}
 	run := s.duration[w.class]
-	return time.Duration(ahead)*run/time.Duration(max(s.limit.value(), 1)) + run
+	limit := s.limit.value()
+	if paced, ok := s.paces[w.class].allowed(s.now(), s.limit.floor); ok {
+		limit = min(limit, paced)
+	}
+	return time.Duration(ahead)*run/time.Duration(max(limit, 1)) + time.Duration(runMargin*float64(run))
 }
 
 // leastImportant returns the newest waiting request of the least important class,
