--- a/standin/fakeplatform/faults.go
+++ b/standin/fakeplatform/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 )
@@ -72,6 +73,8 @@
 			time.Sleep(time.Duration(faults.SlowMS) * time.Millisecond)
 		}
 		if faults.Hang {
+			// The server notices a closed connection only once the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
