--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -18,6 +18,7 @@
 	Backends BackendSettings
 	Weights  WeightSettings
 	Claims   ClaimSettings
+	Rollout  RolloutSettings
 	Log      LogSettings
 }
 
@@ -88,6 +89,15 @@
 	BatchInterval time.Duration
 }
 
+// RolloutSettings holds the [rollout] section.
+type RolloutSettings struct {
+	GroupsInProgress int
+	Hedging          bool
+	CutStale         bool
+	GroupOrder       bool
+	Freshness        bool
+}
+
 // LogLevel is the least severe level that is written.
 type LogLevel string
 
@@ -117,11 +127,13 @@
 		return Settings{}, err
 	}
 	var s Settings
-	none := func(*inifile.Section) (bool, error) { return false, nil }
-	if err := inifile.ApplyAll(file, SettingsSections(), &s, none); err != nil {
+	if err := inifile.ApplyAll(file, SettingsSections(), &s); err != nil {
+		return Settings{}, err
+	}
+	if err := s.checkDataFolder(file); err != nil {
 		return Settings{}, err
 	}
-	return s, s.checkDataFolder(file)
+	return s, nil
 }
 
 func (s *Settings) checkDataFolder(file *inifile.File) error {
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -16,10 +16,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
-	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/backend"
@@ -27,6 +23,7 @@
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
@@ -57,7 +54,8 @@
 	router  http.Handler
 	stop    context.CancelFunc
 	gate    *gate
-	gone    bool // not in the members any more
+	own     *fakeVersions // what this daemon heard of versions, nil for the cluster's
+	gone    bool          // not in the members any more
 }
 
 func newCluster(t *testing.T, count int, tune func(*Config)) *cluster {
@@ -91,23 +89,25 @@
 	if tune != nil {
 		tune(&config)
 	}
+	pool := peer.NewPool(peer.Config{Connect: time.Second, Progress: 2 * time.Second}, nil)
 	d.manager = NewManager(config, Parts{
-		View: d, Docs: c, Generator: c.gen, Versions: c.versions, Store: c.store, Conns: testConns{}, Recorder: c.recorder,
+		View: d, Docs: c, Generator: c.gen, Versions: d, Store: c.store, Conns: pool, Recorder: c.recorder,
 	})
-	mux := drpcmux.New()
-	if err := d.manager.Register(mux); err != nil {
+	server := peer.NewServer(nil)
+	if err := d.manager.Register(server.Mux()); err != nil {
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = drpcserver.New(mux).Serve(ctx, gatedListener{listener, d.gate})
+		_ = server.Serve(ctx, gatedListener{listener, d.gate})
 	}()
 	go func() { _ = d.manager.Run(ctx) }()
 	d.stop = func() {
 		d.gate.open()
 		cancel()
+		pool.Close()
 		<-served
 	}
 	router := chi.NewRouter()
@@ -179,6 +179,17 @@
 	return members[:min(n, len(members))]
 }
 
+// Newest implements weights.Versions.
+func (d *testDaemon) Newest(pool string) int64 {
+	d.c.mu.Lock()
+	own := d.own
+	d.c.mu.Unlock()
+	if own != nil {
+		return own.Newest(pool)
+	}
+	return d.c.versions.Newest(pool)
+}
+
 func (d *testDaemon) Replicas(string) []fleet.Replica { return nil }
 func (d *testDaemon) Subset(string) []fleet.Replica   { return nil }
 func (d *testDaemon) Isolated() (time.Time, bool)     { return time.Time{}, false }
@@ -299,6 +310,18 @@
 	}
 }
 
+// held waits until the daemons hold n finished samples.
+func (c *cluster) held(n int) {
+	c.t.Helper()
+	waitFor(c.t, "samples generated", func() bool {
+		sum := 0
+		for _, d := range c.daemons {
+			sum += d.manager.runner.held()
+		}
+		return sum >= n
+	})
+}
+
 // waitFor waits until a condition holds.
 func waitFor(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -476,46 +499,6 @@
 	return nil, fault.New(fault.Unavailable, "no watches", "")
 }
 
-// testConns dials a fresh connection for each call.
-type testConns struct{}
-
-func (testConns) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	return &dialedConn{address: address}, nil
-}
-
-type dialedConn struct{ address string }
-
-func (c *dialedConn) dial(ctx context.Context) (*drpcconn.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "not connected", "")
-	}
-	return drpcconn.New(conn), nil
-}
-
-func (c *dialedConn) Close() error               { return nil }
-func (c *dialedConn) Closed() <-chan struct{}    { return nil }
-func (c *dialedConn) Unblocked() <-chan struct{} { return nil }
-
-func (c *dialedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	conn, err := c.dial(ctx)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.Invoke(ctx, rpc, enc, in, out)
-}
-
-func (c *dialedConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
-	conn, err := c.dial(ctx)
-	if err != nil {
-		return nil, err
-	}
-	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	return conn.NewStream(ctx, rpc, enc)
-}
-
 // gate holds up all traffic of a frozen daemon.
 type gate struct {
 	mu     sync.Mutex
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -50,7 +50,9 @@
 	parts    Parts
 	now      func() time.Time
 	counters counters
+	draining atomic.Bool
 	sessions *sessions
+	suspects *suspects
 	runner   *runner
 
 	life context.Context // ends with Close; parent of all step and sample work
@@ -69,7 +71,7 @@
 }
 
 type counters struct {
-	delivered, generated, failed, stale, cut, hedged, hedgeWins, discarded, rebuilt, fenced, busy, thrownAway atomic.Int64
+	delivered, generated, failed, stale, cut, hedged, hedgeWins, discarded, rebuilt, fenced, busy atomic.Int64
 }
 
 // NewManager returns a Manager. Register and Run start it.
@@ -92,6 +94,7 @@
 		seen:   map[string]int64{},
 	}
 	m.sessions = newSessions(m)
+	m.suspects = newSuspects(m)
 	m.runner = newRunner(m)
 	return m
 }
@@ -219,7 +222,7 @@
 		"rebuilt":     c.rebuilt.Load(),
 		"fenced":      c.fenced.Load(),
 		"busy":        c.busy.Load(),
-		"thrown_away": c.thrownAway.Load(),
+		"thrown_away": m.runner.speeds.thrownAway(),
 		"steps":       int64(m.stepCount()),
 		"payloads":    int64(m.runner.held()),
 		"groups":      int64(m.runner.groupsInProgress()),
--- a/weights/share.go
+++ b/weights/share.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/weights/weightspb"
 )
 
@@ -81,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return whole(client.Survey(ctx, &weightspb.SurveyRequest{Targets: s.targets}))(s)
+	return whole(client.Survey(peer.WithProgress(ctx, surveyTimeout), &weightspb.SurveyRequest{Targets: s.targets}))(s)
 }
 
 // whole refuses a reply that does not answer every target of the share.
@@ -124,7 +127,7 @@
 		return nil, err
 	}
 	fence, left := k.may()
-	return whole(client.Activate(ctx, &weightspb.ActivateRequest{
+	return whole(client.Activate(peer.WithProgress(ctx, waveTimeout), &weightspb.ActivateRequest{
 		Ticket:        ticket.Ticket,
 		Pool:          k.pool,
 		Version:       version,
@@ -152,26 +155,25 @@
 	return reports
 }
 
-// announce sends news to all members, itself included. Members that miss it ask later.
+// announce takes in news and sends them to all other members, without waiting for
+// them. Members that miss it ask later.
 func (m *Manager) announce(ctx context.Context, r *weightspb.AnnounceRequest) {
 	m.counters.announced.Add(1)
 	m.hear(r)
 	self := m.parts.View.Self().ID
-	limit := make(chan struct{}, announceLimit)
-	var waiting sync.WaitGroup
-	for _, member := range m.parts.View.Members() {
-		if member.ID == self {
-			continue
+	var group errgroup.Group
+	group.SetLimit(announceLimit)
+	go func() {
+		for _, member := range m.parts.View.Members() {
+			if member.ID == self {
+				continue
+			}
+			group.Go(func() error {
+				m.announceTo(ctx, member, r)
+				return nil
+			})
 		}
-		limit <- struct{}{}
-		waiting.Add(1)
-		go func() {
-			defer waiting.Done()
-			defer func() { <-limit }()
-			m.announceTo(ctx, member, r)
-		}()
-	}
-	waiting.Wait()
+	}()
 }
 
 func (m *Manager) announceTo(ctx context.Context, member fleet.Member, r *weightspb.AnnounceRequest) {
