--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -24,11 +24,12 @@
 	t       *testing.T
 	fake    *fakeplatform.Server
 	address string
+	region  string // of daemons added next
 }
 
 func newCluster(t *testing.T) *cluster {
 	fake := fakeplatform.New(fakeplatform.Config{BookmarkInterval: testInterval})
-	return &cluster{t: t, fake: fake, address: servePlatform(t, fake)}
+	return &cluster{t: t, fake: fake, address: servePlatform(t, fake), region: "r"}
 }
 
 // node is one daemon. It can be stopped and started again on the same address.
@@ -49,7 +50,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	n := &node{cluster: c, self: Member{ID: id, Address: id, PeerAddress: listener.Addr().String(), Region: "r", FailureDomain: domain}}
+	n := &node{cluster: c, self: Member{ID: id, Address: id, PeerAddress: listener.Addr().String(), Region: c.region, FailureDomain: domain}}
 	n.list(platform.Live)
 	n.serve(listener)
 	c.t.Cleanup(n.stop)
--- a/fleet/collector.go
+++ b/fleet/collector.go
@@ -53,7 +53,7 @@
 	c.setActive(time.Now())
 	defer c.setActive(time.Time{})
 	var group sync.WaitGroup
-	for _, work := range []func(context.Context){c.watch, c.readLists, c.exchangeAll, c.observe, c.invite} {
+	for _, work := range []func(context.Context){c.watch, c.readLists, c.exchangeAll, c.observe, c.probe} {
 		group.Go(func() { work(ctx) })
 	}
 	group.Wait()
@@ -126,23 +126,30 @@
 }
 
 // readLists reads the instance list when it is this collector's turn, or when no
-// collector has read it for a while. So the reads do not grow with the collectors.
+// collector has read it for a while. So the reads do not grow with the collectors. A
+// daemon that hears no other one although others are listed reads at the slower rate
+// of direct reads.
 func (c *collector) readLists(ctx context.Context) {
-	interval := c.manager.config.ListInterval
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		if c.listDue(time.Now()) && c.manager.readList(ctx) == nil {
 			c.noteListRead(time.Now())
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+		if c.alone() {
+			wait(ctx, jitter(c.manager.config.DirectInterval))
+		} else {
+			wait(ctx, c.manager.config.ListInterval)
 		}
 	}
 }
 
+// alone reports whether this collector hears none of the other listed daemons.
+func (c *collector) alone() bool {
+	others := len(c.manager.current.Load().everyone) > 1
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return others && len(c.heard()) == 1
+}
+
 func (c *collector) listDue(now time.Time) bool {
 	if c.listAge() > staleListFactor*c.manager.config.ListInterval {
 		return true
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"maps"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
-	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
 )
 
 // observe marks the daemons that no collector hears as silent.
@@ -102,64 +101,33 @@
 	})
 }
 
-// invite offers the instance list to silent daemons, one after the other. A daemon
-// that started while the platform is down knows no peer and learns of them so.
-func (c *collector) invite(ctx context.Context) {
-	for last := ""; ctx.Err() == nil; {
+// probe exchanges summaries with silent daemons, one after the other. So two groups
+// of daemons that lost each other find each other again, and a daemon that started
+// while the platform is down, and knows no peer, learns of them. Every other time it
+// takes one that would be a collector.
+func (c *collector) probe(ctx context.Context) {
+	for ranked := true; ctx.Err() == nil; ranked = !ranked {
 		wait(ctx, jitter(c.manager.config.ReportInterval))
-		silent := slices.Sorted(maps.Keys(c.manager.current.Load().silent))
-		if len(silent) == 0 {
-			continue
-		}
-		last = nextAfter(silent, last)
-		if address := c.manager.peerAddressOf(last); address != "" {
-			c.sendInvitation(ctx, address)
-		}
-	}
-}
-
-// nextAfter returns the first of the sorted names after last, in a circle.
-func nextAfter(names []string, last string) string {
-	for _, name := range names {
-		if name > last {
-			return name
+		silent := c.silentMembers(ranked)
+		if len(silent) > 0 {
+			c.exchange(ctx, silent[rand.IntN(len(silent))])
 		}
 	}
-	return names[0]
 }
 
-// peerAddressOf returns a listed daemon's peer address, or "".
-func (m *Manager) peerAddressOf(id string) string {
-	for _, member := range m.current.Load().everyone {
-		if member.ID == id {
-			return member.PeerAddress
-		}
-	}
-	return ""
-}
-
-func (c *collector) sendInvitation(ctx context.Context, address string) {
+// silentMembers returns the silent daemons, or those of them that would collect if
+// no daemon was silent.
+func (c *collector) silentMembers(ranked bool) []Member {
 	m := c.manager
-	list, known := m.listSnapshot()
-	if !known {
-		return
+	v := m.current.Load()
+	var silent []Member
+	if len(v.silent) == 0 {
+		return silent
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.config.ReportInterval)
-	defer cancel()
-	conn, err := m.conns.Conn(ctx, address)
-	if err != nil {
-		return
-	}
-	_, _ = fleetpb.NewDRPCFleetClient(conn).Invite(ctx, &fleetpb.Invitation{From: m.config.Self.ID, List: wholeList(list)})
-}
-
-// Invite takes over an instance list that is newer than the known one.
-func (s *service) Invite(_ context.Context, invitation *fleetpb.Invitation) (*fleetpb.InvitationAnswer, error) {
-	m := s.manager
-	m.touch()
-	if invitation.List != nil {
-		list, _ := m.listSnapshot()
-		m.offerList(applyListChange(list, invitation.List))
+	for _, member := range v.everyone {
+		if v.silent[member.ID] && (!ranked || m.ranks(v, member)) {
+			silent = append(silent, member)
+		}
 	}
-	return &fleetpb.InvitationAnswer{}, nil
+	return silent
 }
--- a/fleet/roles.go
+++ b/fleet/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -163,7 +164,7 @@
 		}
 	}
 	n := m.config.CollectorsADomain
-	key := "collector/" + region + "/" + domain
+	key := collectorKey(region, domain)
 	ids := rank(good, key, n)
 	ids = append(ids, rank(poor, key, n-len(ids))...)
 	collectors := make([]Member, 0, len(ids))
@@ -173,6 +174,20 @@
 	return collectors
 }
 
+func collectorKey(region, domain string) string { return "collector/" + region + "/" + domain }
+
+// ranks reports whether a daemon would collect if none was silent.
+func (m *Manager) ranks(v *view, member Member) bool {
+	var ids []string
+	for _, other := range v.everyone {
+		if other.Region == member.Region && other.FailureDomain == member.FailureDomain {
+			ids = append(ids, other.ID)
+		}
+	}
+	key := collectorKey(member.Region, member.FailureDomain)
+	return slices.Contains(rank(ids, key, m.config.CollectorsADomain), member.ID)
+}
+
 // allCollectors returns the collectors of every failure domain but Self.
 func (m *Manager) allCollectors() []Member {
 	type place struct{ region, domain string }
