--- a/standin/cmd/standin/demo.go
+++ b/standin/cmd/standin/demo.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/hornbeamtide/hornbeamtide/standin/demo"
 )
@@ -27,6 +29,12 @@
 	return daemon, self, nil
 }
 
+// interruptible returns a context that ends at a signal, so that the processes started
+// are ended too.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
 type demoCommand struct {
 	programOptions
 	Examples string `long:"examples" description:"folder with documents and prompts" default:"examples"`
@@ -42,7 +50,9 @@
 	if err != nil {
 		return err
 	}
-	return demo.Run(context.Background(), demo.Options{
+	ctx, stop := interruptible()
+	defer stop()
+	return demo.Run(ctx, demo.Options{
 		Daemon: daemon, Standin: self, Examples: c.Examples, Groups: c.Groups, Samples: c.Samples,
 		Faults: strings.Split(c.Faults, ","), Logs: c.Logs, Out: os.Stdout,
 	})
--- a/standin/cmd/standin/slopes.go
+++ b/standin/cmd/standin/slopes.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"strings"
@@ -29,7 +28,9 @@
 			return err
 		}
 	}
-	return slopes.Run(context.Background(), slopes.Options{
+	ctx, stop := interruptible()
+	defer stop()
+	return slopes.Run(ctx, slopes.Options{
 		Daemon: daemon, Examples: c.Examples, Layouts: layouts, Results: c.Results, Page: c.Page, Out: os.Stdout,
 	})
 }
--- a/standin/fakeengine/cache.go
+++ b/standin/fakeengine/cache.go
@@ -13,6 +13,7 @@
 	blocks   int // capacity
 	used     *list.List
 	elements map[uint64]*list.Element
+	events   cacheEvents
 }
 
 func newPrefixCache(tokens int) *prefixCache {
@@ -35,6 +36,7 @@
 			continue
 		}
 		c.elements[key] = c.used.PushFront(key)
+		c.events.add(key, true)
 		c.evict()
 	}
 	return len(fields), cached
@@ -43,7 +45,8 @@
 func (c *prefixCache) evict() {
 	for c.used.Len() > c.blocks {
 		oldest := c.used.Back()
-		delete(c.elements, oldest.Value.(uint64))
-		c.used.Remove(oldest)
+		key := c.used.Remove(oldest).(uint64)
+		delete(c.elements, key)
+		c.events.add(key, false)
 	}
 }
--- a/standin/fakeengine/http.go
+++ b/standin/fakeengine/http.go
@@ -20,6 +20,7 @@
 	r := chi.NewRouter()
 	r.Post("/generate", e.postGenerate)
 	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(e.Status()) })
+	r.Get("/cache/events", e.getCacheEvents)
 	r.Post("/weights/stage", e.postStage)
 	r.Post("/weights/activate", e.postActivate)
 	r.Post("/control/faults", e.postFaults)
--- a/standin/slopes/analyze.go
+++ b/standin/slopes/analyze.go
@@ -4,7 +4,7 @@
 type Results struct {
 	Layouts []Measured `json:"layouts"`
 
-	// Rates of a daemon; regressors: replicas polled, daemons in the fleet.
+	// Rates of a daemon; regressors: load polls a second, daemons in the fleet.
 	MemberCPU      fit `json:"member_cpu"`
 	MemberBytes    fit `json:"member_bytes"`
 	MemberMessages fit `json:"member_messages"`
@@ -22,6 +22,8 @@
 	PlatformWrites fit     `json:"platform_writes"`
 	Watches        fit     `json:"watches"`
 	PollBytes      float64 `json:"poll_bytes"`
+	PollRate       float64 `json:"poll_rate"`   // polls a second a replica
+	IdleMemory     float64 `json:"idle_memory"` // largest of any idle daemon
 
 	// A document change; regressor: members served by a collector.
 	ChangeMemberCPU      float64 `json:"change_member_cpu_s"`
@@ -92,7 +94,7 @@
 	for line, value := range lines {
 		var observations []observation
 		each(all, false, func(m member) {
-			observations = append(observations, observation{[]float64{m.Replicas, m.Daemons}, value(m)})
+			observations = append(observations, observation{[]float64{m.Polls, m.Daemons}, value(m)})
 		})
 		*line = f.fit(observations)
 	}
@@ -101,10 +103,10 @@
 // collectors fits what collecting daemons spend beyond the members' line.
 func (f *fitter) collectors(r *Results, all []Measured) {
 	lines := map[*fit]func(member) float64{
-		&r.CollectorCPU:      func(m member) float64 { return m.CPU - r.MemberCPU.at(m.Replicas, m.Daemons) },
-		&r.CollectorBytes:    func(m member) float64 { return m.Bytes - r.MemberBytes.at(m.Replicas, m.Daemons) },
-		&r.CollectorMessages: func(m member) float64 { return m.Messages - r.MemberMessages.at(m.Replicas, m.Daemons) },
-		&r.CollectorMemory:   func(m member) float64 { return m.Memory - r.MemberMemory.at(m.Replicas, m.Daemons) },
+		&r.CollectorCPU:      func(m member) float64 { return m.CPU - r.MemberCPU.at(m.Polls, m.Daemons) },
+		&r.CollectorBytes:    func(m member) float64 { return m.Bytes - r.MemberBytes.at(m.Polls, m.Daemons) },
+		&r.CollectorMessages: func(m member) float64 { return m.Messages - r.MemberMessages.at(m.Polls, m.Daemons) },
+		&r.CollectorMemory:   func(m member) float64 { return m.Memory - r.MemberMemory.at(m.Polls, m.Daemons) },
 	}
 	for line, value := range lines {
 		var observations []observation
@@ -128,15 +130,32 @@
 
 func (f *fitter) platform(r *Results, all []Measured) {
 	var reads, writes, watches []observation
-	polls := 0.0
+	n := float64(len(all))
 	for _, m := range all {
 		x := []float64{m.collectors()}
 		reads = append(reads, observation{x, m.PlatformReads})
 		writes = append(writes, observation{x, m.PlatformWrites})
 		watches = append(watches, observation{x, m.Watches})
-		polls += m.PollBytes / float64(len(all))
+		r.PollBytes += m.PollBytes / n
+		r.PollRate += m.pollRate() / n
+		for _, daemon := range m.idle {
+			r.IdleMemory = max(r.IdleMemory, daemon.Memory)
+		}
+	}
+	r.PlatformReads, r.PlatformWrites, r.Watches = f.fit(reads), f.fit(writes), f.fit(watches)
+}
+
+// pollRate returns the polls a second a replica polled.
+func (m Measured) pollRate() float64 {
+	polls, polled := 0.0, 0.0
+	for _, daemon := range m.idle {
+		polls += daemon.Polls
+		polled += min(float64(m.Replicas), subset)
+	}
+	if polled == 0 {
+		return 0
 	}
-	r.PlatformReads, r.PlatformWrites, r.Watches, r.PollBytes = f.fit(reads), f.fit(writes), f.fit(watches), polls
+	return polls / polled
 }
 
 func (m Measured) collectors() float64 {
--- a/standin/slopes/cost.go
+++ b/standin/slopes/cost.go
@@ -32,8 +32,9 @@
 }
 
 const (
-	workWindow = 4 * time.Second
-	streamRate = 50.0 // generate requests a second
+	workWindow  = 4 * time.Second
+	largestStep = 1024 // samples
+	streamRate  = 50.0 // generate requests a second
 )
 
 func (f *fleet) measureWork(ctx context.Context, idle []member) (*work, error) {
@@ -68,7 +69,7 @@
 		}
 		w.Claims = append(w.Claims, c)
 	}
-	for i, samples := range []int{64, 256, 1024} {
+	for i, samples := range []int{64, 256, largestStep} {
 		c, err := f.spend(ctx, idle, func() (float64, float64, error) {
 			result, err := f.trainingStep(ctx, fmt.Sprintf("trainer-%d", i), int64(i+1), samples)
 			if err == nil && result.Broken() {
--- a/standin/slopes/measure.go
+++ b/standin/slopes/measure.go
@@ -72,14 +72,18 @@
 		return m, err
 	}
 	defer f.close()
-	time.Sleep(settleTime)
+	if err := pause(ctx, settleTime); err != nil {
+		return m, err
+	}
 	if m.bare, err = f.idleRates(ctx, &Measured{}); err != nil {
 		return m, err
 	}
 	if err := f.applyDocuments(ctx, options.Examples); err != nil {
 		return m, err
 	}
-	time.Sleep(settleTime)
+	if err := pause(ctx, settleTime); err != nil {
+		return m, err
+	}
 	if m.idle, err = f.idleRates(ctx, &m); err != nil {
 		return m, err
 	}
@@ -99,6 +103,16 @@
 	return m, err
 }
 
+// pause waits, or returns early with an error when ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // idleRates measures all daemons while nobody works.
 func (f *fleet) idleRates(ctx context.Context, m *Measured) ([]member, error) {
 	calls, traffic := f.system.Platform.Calls(), f.system.Traffic()
@@ -106,7 +120,7 @@
 	var trafficAfter local.Traffic
 	readings, elapsed, err := window(ctx, f.cluster, f.daemons, func() {
 		calls, traffic = f.system.Platform.Calls(), f.system.Traffic()
-		time.Sleep(idleWindow)
+		_ = pause(ctx, idleWindow)
 		callsAfter, trafficAfter = f.system.Platform.Calls(), f.system.Traffic()
 	})
 	if err != nil {
--- a/standin/slopes/reading.go
+++ b/standin/slopes/reading.go
@@ -32,7 +32,6 @@
 	Collecting bool
 	Attendees  float64
 	Collectors float64 // other collectors
-	Replicas   float64 // polled
 }
 
 // metrics is the part of /debug/vars that is used.
@@ -70,7 +69,6 @@
 	Counters struct {
 		Polls float64 `json:"polls"`
 	} `json:"counters"`
-	Replicas []json.RawMessage `json:"replicas"`
 }
 
 // usage reads processor time and memory of a process.
@@ -140,7 +138,7 @@
 			if err := json.Unmarshal(module.State, &state); err != nil {
 				return err
 			}
-			r.Polls, r.Replicas = state.Counters.Polls, float64(len(state.Replicas))
+			r.Polls = state.Counters.Polls
 		}
 	}
 	return nil
--- /dev/null
+++ b/standin/slopes/rows.go
@@ -0,0 +1,165 @@
+package slopes
+
+import "fmt"
+
+// roleRow is one role on the page.
+type roleRow struct {
+	name, count, state, platform, mechanism, formula string
+	load                                             load
+}
+
+func (t target) rows() []roleRow {
+	return []roleRow{
+		{
+			name: "member", count: num(targetDaemons), load: t.member(),
+			state:     "documents, instance list, one stream",
+			platform:  "none while a collector answers",
+			mechanism: "domain collectors: one stream to a collector, changes pushed down",
+			formula:   fmt.Sprintf("member lines at polls/s = %s, daemons = %s", num(t.pollRate()), num(targetDaemons)),
+		},
+		{
+			name: "load polls", count: num(targetDaemons), load: t.polls(),
+			state:     fmt.Sprintf("state of %s replicas", num(t.polled())),
+			platform:  "none",
+			mechanism: "subset of each pool; load in response headers first",
+			formula: fmt.Sprintf("polled = %s a pool × %s pools / %s regions = %s; bytes = polled × %s polls/s × %s B; processor time is in the member's line",
+				num(subset), num(targetPools), num(targetRegions), num(t.polled()), num(t.r.PollRate), num(t.r.PollBytes)),
+		},
+		{
+			name: "collector", count: num(t.collectors()), load: t.collector(),
+			state: fmt.Sprintf("a row a daemon (%s), %s member streams", num(targetDaemons), num(t.attendees())),
+			platform: fmt.Sprintf("%s reads/s and %s watches for all collectors",
+				num(t.r.PlatformReads.at(t.collectors())), num(t.r.Watches.at(t.collectors()))),
+			mechanism: "two a failure domain, each serves half; alone they watch the platform",
+			formula: fmt.Sprintf("collector lines at members = (%s − %s) / %s = %s, collectors = %s, daemons = %s, plus %s changes a day / 86,400 s × a change",
+				num(targetDaemons), num(t.collectors()), num(t.collectors()), num(t.attendees()), num(t.collectors()-1), num(targetDaemons), num(targetChanges)),
+		},
+		{
+			name: "step owner", count: num(targetTrainers), load: t.stepOwner(),
+			state:     fmt.Sprintf("index of %s samples", num(targetSamples)),
+			platform:  fmt.Sprintf("%s writes, %s reads a step", num(t.r.StepWrites.at(targetSamples)), num(t.r.StepReads.at(targetSamples))),
+			mechanism: "accounting only; payloads stay with the runners; the token carries what was delivered",
+			formula: fmt.Sprintf("samples/s = %s / %s s; processor = (step − %d tokens × stream) a sample, as if the owner spent it all; bytes = busiest daemon's slope",
+				num(targetSamples), num(targetStepTime), sampleTokens),
+		},
+		{
+			name: "group runner", count: num(targetDaemons), load: t.runner(),
+			state:     "prompts of its groups, finished samples until the trainer has them",
+			platform:  "none",
+			mechanism: "groups spread over all daemons by rendezvous hashing",
+			formula: fmt.Sprintf("samples/s = %s × %s / %s s / %s daemons; processor and bytes = step lines a sample, stream included",
+				num(targetTrainers), num(targetSamples), num(targetStepTime), num(targetDaemons)),
+		},
+		{
+			name: "claim shard keeper", count: num(claimShards), load: t.keeper(),
+			state:     "keys of the retention time in the platform's objects, an index of them in memory",
+			platform:  fmt.Sprintf("%s writes/s, %s reads/s for all shards", num(t.claimWrites()), num(t.claims()*t.r.ClaimReads.Slopes[0])),
+			mechanism: "journal by create-if-absent, batches of claims",
+			formula: fmt.Sprintf("claims = %s × %s = %s/s, / %s shards; processor = (keyed − plain request) a claim; writes = %s a claim, measured at up to 300/s over 8 shards",
+				num(targetRequests), num(targetClaimRate), num(t.claims()), num(claimShards), num(t.r.ClaimWrites.Slopes[0])),
+		},
+		{
+			name: "weights keeper", count: num(targetPools), load: t.weightsKeeper(),
+			state:     fmt.Sprintf("version of each of %s replicas", num(t.poolReplicas())),
+			platform:  fmt.Sprintf("%s lease writes/s for all pools", num(t.leaseWrites())),
+			mechanism: "lease a pool; stage ahead, then one wave of activations",
+			formula: fmt.Sprintf("orders line at %s replicas every %s s; lease writes = idle writes of one pool × %s",
+				num(t.poolReplicas()), num(targetWeights), num(targetPools)),
+		},
+		{
+			name: "router", count: num(targetDaemons), load: t.router(),
+			state:     "requests in progress, replica states, retry budget",
+			platform:  "none",
+			mechanism: "any daemon serves any request; prefix affinity under a load bound",
+			formula: fmt.Sprintf("data path, not control: %s/s × a plain request + %s tokens/s × a streamed token (8 a chunk)",
+				num(targetRequests/targetDaemons), num(targetTokens/targetDaemons)),
+		},
+	}
+}
+
+// limitRow is one limit on the page.
+type limitRow struct {
+	name          string
+	value, limit  float64
+	unit, formula string
+	mend          string // design change if the limit is exceeded
+}
+
+func (t target) limitRows() []limitRow {
+	busiest, plain := t.control(), t.plainMember()
+	return []limitRow{
+		{
+			"processor of a member", 100 * plain.cpu, 100 * limitCPU, "% of a core", "member + polls + runner",
+			"poll less often and only pools in use; reports to the collector less often while nothing changes",
+		},
+		{
+			"processor of the busiest daemon", 100 * busiest.cpu, 100 * limitCPU, "% of a core",
+			"member + polls + collector + step owner + runner + claim shard + pool",
+			"rank daemons with fewer roles first for a new role; three collectors a domain",
+		},
+		{
+			"memory of the busiest daemon", busiest.memory / 1e6, limitMemory / 1e6, "MB", "the same sum",
+			"collectors exchange only rows that changed; payloads of samples go to the data folder",
+		},
+		{
+			"control of a member", plain.bytes / 1e3, limitBytes / 1e3, "KB/s", "member + polls + runner",
+			"load from response headers for replicas in use, a poll every few seconds for the others, compact status answers",
+		},
+		{
+			"control of the busiest daemon", busiest.bytes / 1e3, limitBytes / 1e3, "KB/s", "the sum of all roles",
+			"as above, and three collectors a domain",
+		},
+		{
+			"platform writes", t.platformWrites(), limitWrites, "1/s",
+			fmt.Sprintf("claims %s + leases %s + changes", num(t.claimWrites()), num(t.leaseWrites())),
+			"fewer shards or a longer batch interval under load, so that a write carries more claims",
+		},
+		{
+			"platform reads", t.platformReads(), limitReads, "1/s", "idle line at 12 collectors + changes + claims",
+			"one collector a domain reads for both",
+		},
+		{
+			"weights on all replicas of a pool", t.r.WaveSpread.at(t.poolReplicas()), limitWave, "s",
+			fmt.Sprintf("first to last activation at %s replicas; staged before", num(t.poolReplicas())),
+			"the keeper hands the wave to more daemons",
+		},
+		{
+			"a change in force everywhere", t.r.InForce.at(targetDaemons), limitInForce, "s",
+			fmt.Sprintf("line at %s daemons; the slowest single change measured took %s s", num(targetDaemons), num(t.r.InForceMax)),
+			"collectors push changes before summaries",
+		},
+	}
+}
+
+func (p *page) limits(t target) {
+	p.line("## Against the limits\n")
+	p.head("limit", "worked out", "limit", "verdict", "from")
+	var mends []string
+	for _, r := range t.limitRows() {
+		verdict := "holds"
+		if r.value > r.limit {
+			verdict = "**exceeded**"
+			mends = append(mends, fmt.Sprintf("- **%s** (%s of %s %s): %s.", r.name, num(r.value), num(r.limit), r.unit, r.mend))
+		}
+		p.row(r.name, num(r.value)+" "+r.unit, num(r.limit)+" "+r.unit, verdict, r.formula)
+	}
+	p.line("")
+	if len(mends) == 0 {
+		return
+	}
+	p.line("What exceeds a limit, and the change of the design that mends it:\n")
+	for _, mend := range mends {
+		p.line("%s", mend)
+	}
+	p.line("")
+}
+
+func (p *page) notMeasured() {
+	p.line(`## Not measured here
+
+- Two regions: all measured daemons are in one; a region's collectors do not watch for the other.
+- Latency between failure domains: everything runs on loopback.
+- Real weights: staging takes 20 ms a replica at the stand-in store.
+- Bytes of platform calls and of HTTP to callers are not in the control figures; load polls are.
+- Memory of claims kept for their retention time at 64 shards.`)
+}
