--- a/backend/client.go
+++ b/backend/client.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
 )
@@ -15,6 +16,7 @@
 type Client struct {
 	timeouts Timeouts
 	log      *event.Logger
+	counters counters
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -45,7 +47,7 @@
 	defer c.mu.Unlock()
 	s, ok := c.servers[address]
 	if !ok {
-		s = newServer(address, c.timeouts, c.log)
+		s = newServer(address, c.timeouts, c.log, &c.counters)
 		c.servers[address] = s
 	}
 	return s
@@ -57,17 +59,18 @@
 	timeouts  Timeouts
 	log       *event.Logger
 	transport *http.Transport
+	counters  *counters
+
+	open       atomic.Int64 // connections
+	inProgress atomic.Int64 // calls
 }
 
-func newServer(address string, timeouts Timeouts, log *event.Logger) *server {
-	return &server{
-		address:  address,
-		timeouts: timeouts,
-		log:      log,
-		transport: &http.Transport{
-			DialContext:         dialTracked(timeouts.Connect),
-			MaxIdleConnsPerHost: maxIdleConnections,
-			DisableCompression:  true,
-		},
+func newServer(address string, timeouts Timeouts, log *event.Logger, counters *counters) *server {
+	s := &server{address: address, timeouts: timeouts, log: log, counters: counters}
+	s.transport = &http.Transport{
+		DialContext:         s.dial,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		DisableCompression:  true,
 	}
+	return s
 }
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -5,15 +5,21 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
+// keepAliveInterval is the time between two TCP keep-alive probes.
+const keepAliveInterval = 15 * time.Second
+
 // trackedConn counts the bytes written to a connection, which tells whether any byte
 // of a failed request can have reached the server.
 type trackedConn struct {
 	net.Conn
+	open   *atomic.Int64 // connections of the server
+	closed sync.Once
 
 	mu      sync.Mutex
 	written int64
@@ -35,7 +41,7 @@
 // seal closes the connection, so that nothing is written later, and returns the
 // bytes written so far.
 func (c *trackedConn) seal() int64 {
-	_ = c.Conn.Close() // also ends a blocked Write
+	_ = c.Close() // also ends a blocked Write
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
@@ -48,15 +54,22 @@
 	return c.written
 }
 
-func dialTracked(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: 15 * time.Second}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &trackedConn{Conn: conn}, nil
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// dial opens a connection that counts its bytes.
+func (s *server) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: s.timeouts.Connect, KeepAlive: keepAliveInterval}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
+	s.counters.connections.Add(1)
+	s.open.Add(1)
+	return &trackedConn{Conn: conn, open: &s.open}, nil
 }
 
 // exchange records what happened to one request on its connection.
--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -57,7 +57,7 @@
 // streamOver returns a stream that reads the given body.
 func streamOver(body []byte) *stream {
 	timeouts := Timeouts{Connect: time.Minute, FirstByte: time.Minute, Progress: time.Minute}
-	c := &call{server: newServer("test", timeouts, nil)}
+	c := &call{server: newServer("test", timeouts, nil, &counters{})}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.response = &http.Response{Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body))}
 	return newStream(c, "r")
--- a/backend/roundtrip.go
+++ b/backend/roundtrip.go
@@ -37,8 +37,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, ended(err, fault.NotRun)
 	}
+	s.counters.requests.Add(1)
+	s.inProgress.Add(1)
 	c := &call{server: s}
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
+	context.AfterFunc(c.ctx, func() { s.inProgress.Add(-1) })
 	if limit != noLimit {
 		timer := time.AfterFunc(limit, func() { c.cancel(errStalled) })
 		defer timer.Stop()
@@ -46,6 +49,7 @@
 	response, err := s.transport.RoundTrip(r.WithContext(c.exchange.trace(c.ctx)))
 	if err != nil {
 		outcome := c.exchange.abandon()
+		s.counters.count(outcome)
 		failure := c.failure(err, outcome)
 		c.cancel(context.Canceled)
 		return nil, failure
@@ -80,6 +84,7 @@
 // stalled closes the idle connections to the server: they may be silent for good too,
 // and the next request finds out on a fresh one.
 func (s *server) stalled() {
+	s.counters.stalls.Add(1)
 	s.transport.CloseIdleConnections()
 	s.log.Log(event.BackendStalled, event.F("server", s.address))
 }
@@ -88,6 +93,7 @@
 // closed, since every later answer on it may be crossed too.
 func (c *call) mismatch(message string) error {
 	c.abort()
+	c.server.counters.mismatched.Add(1)
 	c.server.log.Log(event.BackendMismatched, event.F("server", c.server.address), event.F("detail", message))
 	return fault.New(fault.Mismatched, "backend server "+c.server.address+": "+message,
 		"look for a fault in the server; idempotent requests are retried elsewhere", fault.WithOutcome(fault.Unknown))
--- a/backend/stream_test.go
+++ b/backend/stream_test.go
@@ -365,3 +365,25 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestCountersAndDump(t *testing.T) {
+	s := newRawServer(t, func(w net.Conn, _, _ int, id string) bool {
+		startStream(w, id)
+		writePart(w, event(id, 0, 1, 1, true))
+		endStream(w)
+		return true
+	})
+	client := backend.NewClient(testTimeouts, nil)
+	for _, id := range []string{"a", "b"} {
+		if _, err := collectWith(client.Engine(s.address), id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if c := client.Counters(); c["requests"] != 2 || c["connections"] != 1 || c["unknown"]+c["not_run"] != 0 {
+		t.Errorf("counters %v", c)
+	}
+	state, ok := client.Dump().(backend.State)
+	if !ok || len(state.Servers) != 1 || state.Servers[0].Address != s.address || state.Servers[0].Connections != 1 {
+		t.Errorf("dump %+v", state)
+	}
+}
