backend: comments of a waiting engine are progress; demo: weights first, then the kills

Cause: a request that waited in an engine's queue for longer than the progress deadline was cut, although the engine said every second that it waits. Taken out on a scratch change, TestEngineThatWaitsAndSaysSoIsNotCut fails with 'no progress within the deadline'.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -160,8 +160,8 @@
 
 // discard reads a short rest of the body, so that the connection is reused, and ends the call.
 func (c *call) discard() {
-	stop := c.guard(c.ctx)
+	g := c.guard(c.ctx)
 	_, _ = io.CopyN(io.Discard, c.response.Body, maxDiscardBytes)
-	stop()
+	g.stop()
 	c.release()
 }
--- a/backend/plain.go
+++ b/backend/plain.go
@@ -85,9 +85,9 @@
 
 // Read implements io.Reader.
 func (b *plainBody) Read(p []byte) (int, error) {
-	stop := b.call.guard(b.ctx)
+	g := b.call.guard(b.ctx)
 	n, err := b.body.Read(p)
-	stop()
+	g.stop()
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/backend/roundtrip.go
+++ b/backend/roundtrip.go
@@ -111,16 +111,31 @@
 	c.cancel(context.Canceled)
 }
 
-// guard ends the call when ctx ends or the progress deadline passes before stop is called.
-func (c *call) guard(ctx context.Context) (stop func()) {
-	timer := time.AfterFunc(c.server.timeouts.Progress, func() { c.cancel(errStalled) })
-	stopWatch := context.AfterFunc(ctx, func() { c.cancel(context.Cause(ctx)) })
-	return func() {
-		timer.Stop()
-		stopWatch()
+// guard ends a call that makes no progress.
+type guard struct {
+	timer    *time.Timer
+	limit    time.Duration
+	stopWait func() bool
+}
+
+// guard ends the call when ctx ends, or when the progress deadline passes without a
+// call of progress, until stop is called.
+func (c *call) guard(ctx context.Context) guard {
+	limit := c.server.timeouts.Progress
+	return guard{
+		timer:    time.AfterFunc(limit, func() { c.cancel(errStalled) }),
+		limit:    limit,
+		stopWait: context.AfterFunc(ctx, func() { c.cancel(context.Cause(ctx)) }),
 	}
 }
 
+func (g guard) progress() { g.timer.Reset(g.limit) }
+
+func (g guard) stop() {
+	g.timer.Stop()
+	g.stopWait()
+}
+
 // refusal types a response that says the server did not start or finish the request;
 // nil for any other. requestID is what the server must echo when it echoes any.
 func (c *call) refusal(requestID string) error {
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -67,9 +67,9 @@
 }
 
 func (s *stream) read(ctx context.Context) (Chunk, error) {
-	stop := s.call.guard(ctx)
-	e, err := s.events.next()
-	stop()
+	g := s.call.guard(ctx)
+	e, err := s.events.next(g.progress)
+	g.stop()
 	if err != nil {
 		return Chunk{}, s.call.readFailure(err)
 	}
@@ -123,9 +123,10 @@
 
 var errEventTooLong = errors.New("server-sent event is too long")
 
-// next returns the next event with data. The end of the input before an event is
-// whole is io.ErrUnexpectedEOF.
-func (r *eventReader) next() (sseEvent, error) {
+// next returns the next event with data and calls progress at each line, comments of a
+// waiting engine included. The end of the input before an event is whole is
+// io.ErrUnexpectedEOF.
+func (r *eventReader) next(progress func()) (sseEvent, error) {
 	var e sseEvent
 	hasData := false
 	size := 0
@@ -134,6 +135,7 @@
 		if err != nil {
 			return sseEvent{}, err
 		}
+		progress()
 		size += len(line)
 		if size > maxEventBytes {
 			return sseEvent{}, errEventTooLong
--- a/backend/stream_test.go
+++ b/backend/stream_test.go
@@ -209,6 +209,22 @@
 	}
 }
 
+func TestEngineThatWaitsAndSaysSoIsNotCut(t *testing.T) {
+	s := newRawServer(t, func(w net.Conn, _, _ int, id string) bool {
+		startStream(w, id)
+		for range 6 {
+			writePart(w, ": waiting\n")
+			time.Sleep(testTimeouts.Progress / 3)
+		}
+		writePart(w, event(id, 0, 1, 1, true))
+		endStream(w)
+		return true
+	})
+	if _, err := collect(t, s.address, "r1"); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestLoadIsReadFromTheHeaders(t *testing.T) {
 	s := newRawServer(t, func(w net.Conn, _, _ int, id string) bool {
 		startStream(w, id)
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return fmt.Errorf("step: %w (samples delivered %d of %d)", err, samples.Delivered, samples.Expected)
 	}
+	if err := d.waitSwapped(ctx); err != nil {
+		return err
+	}
 	return d.report(ctx, samples, requests)
 }
 
@@ -107,7 +110,7 @@
 	for i, domain := range domains {
 		place := cluster.Place{Region: region, FailureDomain: domain}
 		id := fmt.Sprintf("engine-%d", i+1)
-		engine, err := d.cluster.StartEngine(ctx, id, modelService, place, "--version", "1", "--checks-fencing", "--token-time", "4ms")
+		engine, err := d.cluster.StartEngine(ctx, id, modelService, place, "--version", "1", "--checks-fencing", "--token-time", "10ms")
 		if err != nil {
 			return err
 		}
--- a/standin/demo/faults.go
+++ b/standin/demo/faults.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+
+	"github.com/hornbeamtide/hornbeamtide/backend"
 )
 
 // disturbance is one fault, disturbance, due when a share of the samples was delivered.
@@ -16,8 +19,8 @@
 // faults returns a function that causes each disturbance once it is due.
 func (d *demo) faults(ctx context.Context, samples int) func(delivered int) {
 	due := []disturbance{
-		{10, "daemon", "daemon-1 killed", d.killDaemon},
-		{30, "weights", "weights version 2 published", d.publish},
+		{10, "weights", "weights version 2 published", d.publish},
+		{30, "daemon", "daemon-1 killed", d.killDaemon},
 		{45, "engine", "engine-2 killed", d.killEngine},
 	}
 	due = slices.DeleteFunc(due, func(f disturbance) bool { return !slices.Contains(d.options.Faults, f.option) })
@@ -54,3 +57,22 @@
 	d.version.Store(2)
 	return nil
 }
+
+// waitSwapped waits until all engines that live have the published weights active.
+func (d *demo) waitSwapped(ctx context.Context) error {
+	version := d.version.Load()
+	for _, engine := range d.engines {
+		if engine.Exited() {
+			continue
+		}
+		err := d.cluster.WaitFor(ctx, fmt.Sprintf("%s has weights version %d", engine.Name, version), func() bool {
+			var status backend.EngineStatus
+			return d.cluster.Get(ctx, engine.Address, "/status", &status) == nil && status.Version == version && status.Whole
+		})
+		if err != nil {
+			return err
+		}
+	}
+	d.say("weights version %d is active on all living engines", version)
+	return nil
+}
