--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -30,6 +30,7 @@
 
 	daemonProgram  string
 	standinProgram string
+	ports          ports
 	mu             sync.Mutex
 	processes      []*Process
 	client         *http.Client
@@ -43,7 +44,7 @@
 	}
 	return &Cluster{
 		Dir: dir, daemonProgram: daemonProgram, standinProgram: standinProgram,
-		client: &http.Client{Timeout: 5 * time.Second},
+		client: &http.Client{Timeout: 5 * time.Second}, ports: ports{taken: map[string]bool{}},
 	}, nil
 }
 
@@ -104,7 +105,7 @@
 }
 
 func (c *Cluster) startStandin(ctx context.Context, name, command, readyPath string, arguments ...string) (*Process, error) {
-	address, err := FreeAddress()
+	address, err := c.ports.free()
 	if err != nil {
 		return nil, err
 	}
@@ -153,11 +154,11 @@
 
 // StartDaemon lists a daemon, starts it and waits until its HTTP interface answers.
 func (c *Cluster) StartDaemon(ctx context.Context, d Daemon) (*Process, error) {
-	address, err := FreeAddress()
+	address, err := c.ports.free()
 	if err != nil {
 		return nil, err
 	}
-	peerAddress, err := FreeAddress()
+	peerAddress, err := c.ports.free()
 	if err != nil {
 		return nil, err
 	}
