--- a/cmd/hornbeamtide/client.go
+++ b/cmd/hornbeamtide/client.go
@@ -66,7 +66,12 @@
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(got.body, value); err != nil {
+	return decode(got.body, value)
+}
+
+// decode reads a JSON answer.
+func decode(content []byte, value any) error {
+	if err := json.Unmarshal(content, value); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "the answer is not JSON", "use the same version for daemon and tool")
 	}
 	return nil
--- a/cmd/hornbeamtide/documents.go
+++ b/cmd/hornbeamtide/documents.go
@@ -1,70 +1,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"regexp"
-	"strconv"
 	"text/tabwriter"
 
 	"github.com/hornbeamtide/hornbeamtide/daemon"
-	"github.com/hornbeamtide/hornbeamtide/document"
-	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
-// versionLine is the first line that get prints and apply reads.
-var versionLine = regexp.MustCompile(`^; version (\d{1,18})\r?\n`)
-
-type applyCommand struct {
-	remote
-	output
-	Version *int64 `long:"version" value-name:"N" description:"version that was read; default: the file's first line '; version N', else 0 for a new document"`
-	Args    struct {
-		File string `positional-arg-name:"FILE" required:"yes" description:"document"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *applyCommand) Execute([]string) error {
-	source, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "the document can't be read", "name an existing file")
-	}
-	parsed, err := document.Parse(c.Args.File, source)
-	if err != nil {
-		return err
-	}
-	version := c.baseVersion(source)
-	header := http.Header{"If-Match": {strconv.FormatInt(version, 10)}}
-	got, err := c.call(http.MethodPut, "/v1/documents/"+parsed.Service, string(versionLine.ReplaceAll(source, nil)), header)
-	if err != nil {
-		return err
-	}
-	var info daemon.DocumentInfo
-	if err := json.Unmarshal(got.body, &info); err != nil {
-		return fault.Wrap(err, fault.Unavailable, "the answer is not JSON", "use the same version for daemon and tool")
-	}
-	if c.JSON {
-		return c.printJSON(info)
-	}
-	fmt.Fprintf(c.stdout, "%s: version %d accepted\n", info.Service, info.Version)
-	return nil
-}
-
-// baseVersion returns the version that the change is based on.
-func (c *applyCommand) baseVersion(source []byte) int64 {
-	if c.Version != nil {
-		return *c.Version
-	}
-	if m := versionLine.FindSubmatch(source); m != nil {
-		version, _ := strconv.ParseInt(string(m[1]), 10, 64)
-		return version
-	}
-	return 0
-}
-
 type getCommand struct {
 	remote
 	output
--- /dev/null
+++ b/cmd/hornbeamtide/process_test.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+)
+
+// asProgram makes this test binary run main, so that tests see exit codes of processes.
+const asProgram = "HORNBEAMTIDE_TEST_AS_PROGRAM"
+
+// generous is how long a condition may take before a test fails.
+const generous = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestExitCodes(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(settings, []byte("[daemon]\nid = d1\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	table := []struct {
+		args   string
+		code   int
+		stdout string
+		stderr string
+	}{
+		{"--help", exitOK, "Exit codes: 0 done", ""},
+		{"serve --help", exitOK, "--settings", ""},
+		{"version --json", exitOK, `"version"`, ""},
+		{"check testdata/desk.ini", exitOK, "ledgerdesk: ok", ""},
+		{"check --json testdata/faulty.ini", exitUsage, `"remedy"`, "refused"},
+		{"check " + settings, exitUsage, `required key "http_address"`, ""},
+		{"check nowhere.ini", exitUsage, "can't be read", ""},
+		{"", exitUsage, "", "Please specify one command"},
+		{"stop", exitUsage, "", "Unknown command"},
+		{"apply", exitUsage, "", "FILE"},
+		{"apply --frob x", exitUsage, "", "unknown flag"},
+		{"apply testdata/faulty.ini", exitUsage, "", "faulty.ini:9: unknown key"},
+		{"serve --settings nowhere.ini", exitUsage, "", "name an existing settings file"},
+		{"serve --settings " + settings, exitUsage, "", "add http_address"},
+		{"status --address 127.0.0.1:1", exitFailure, "", "name another daemon"},
+		{"get --address not/an/address", exitFailure, "", "address"},
+	}
+	for _, row := range table {
+		t.Run(row.args, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			code := run(strings.Fields(row.args), &stdout, &stderr)
+			if code != row.code || !strings.Contains(stdout.String(), row.stdout) || !strings.Contains(stderr.String(), row.stderr) {
+				t.Errorf("exit code %d, want %d\nstdout: %s\nstderr: %s", code, row.code, &stdout, &stderr)
+			}
+		})
+	}
+}
+
+// process is a daemon in a process of its own.
+type process struct {
+	*exec.Cmd
+	t       *testing.T
+	address string
+	log     chan string
+}
+
+// startProcess starts "serve" beside a fake platform that lists a plain server.
+func startProcess(t *testing.T, fake *fakeplatform.Server, plain http.Handler) *process {
+	t.Helper()
+	web, desk := httptest.NewServer(fake.Handler()), httptest.NewServer(plain)
+	t.Cleanup(func() {
+		for _, server := range []*httptest.Server{web, desk} {
+			server.CloseClientConnections()
+			server.Close()
+		}
+	})
+	fake.SetInstance(platform.Instance{
+		ID: "desk-1", Pool: "ledgerdesk", Address: desk.Listener.Addr().String(),
+		Region: "pk-south", FailureDomain: "khi-a", State: platform.Live,
+	})
+	source, err := os.ReadFile("testdata/desk.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fake.Put("documents/ledgerdesk", source)
+	address := web.Listener.Addr().String()
+	settings := filepath.Join(t.TempDir(), "settings.ini")
+	text := fmt.Sprintf("[daemon]\nid = d1\nhttp_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\nregion = pk-south\nfailure_domain = khi-a\ndrain_notice = 0s\n[platform]\naddress = %s\nweight_address = %s\n", address, address)
+	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(os.Args[0], "serve", "--settings", settings), t: t, log: make(chan string, 1000)}
+	p.Env = append(os.Environ(), asProgram+"=1")
+	stderr, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Process.Kill() })
+	go p.readLog(stderr)
+	started := p.waitForLog("event=100")
+	p.address = regexp.MustCompile(`http_address="([^"]+)"`).FindStringSubmatch(started)[1]
+	return p
+}
+
+func (p *process) readLog(r io.Reader) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.log <- lines.Text()
+	}
+	close(p.log)
+}
+
+func (p *process) waitForLog(text string) string {
+	p.t.Helper()
+	limit := time.After(generous)
+	for {
+		select {
+		case line, open := <-p.log:
+			if strings.Contains(line, text) {
+				return line
+			}
+			if !open {
+				p.t.Fatalf("the process ended without logging %s", text)
+			}
+		case <-limit:
+			p.t.Fatalf("no log entry with %s", text)
+		}
+	}
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// exitCode waits for the end of the process.
+func (p *process) exitCode() int {
+	p.t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = p.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(generous):
+		p.t.Fatal("the process did not end")
+	}
+	return p.ProcessState.ExitCode()
+}
+
+// heldServer is a plain service that holds its requests until it is released.
+type heldServer struct {
+	started chan struct{}
+	release chan struct{}
+}
+
+func newHeldServer() *heldServer {
+	return &heldServer{started: make(chan struct{}, 100), release: make(chan struct{})}
+}
+
+func (h *heldServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	h.started <- struct{}{}
+	select {
+	case <-h.release:
+	case <-r.Context().Done():
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	_, _ = io.WriteString(w, "done")
+}
+
+// send sends one request that the held server holds and returns where its end is told.
+func (p *process) send(h *heldServer) <-chan string {
+	p.t.Helper()
+	url := "http://" + p.address + "/v1/services/ledgerdesk/records"
+	for end := time.Now().Add(generous); ; time.Sleep(10 * time.Millisecond) {
+		ready, err := http.Get("http://" + p.address + "/ready")
+		if err == nil {
+			ready.Body.Close()
+			if ready.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			p.t.Fatal("the daemon did not get ready")
+		}
+	}
+	ended := make(chan string, 1)
+	go func() {
+		response, err := http.Post(url, "text/plain", strings.NewReader("x"))
+		if err != nil {
+			ended <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		ended <- fmt.Sprintf("%d %s %v", response.StatusCode, body, err)
+	}()
+	select {
+	case <-h.started:
+	case text := <-ended:
+		p.t.Fatalf("the request ended with %s", text)
+	case <-time.After(generous):
+		p.t.Fatal("the request did not start")
+	}
+	return ended
+}
+
+func TestTerminateEndsRequestsInProgressThenExitsZero(t *testing.T) {
+	held := newHeldServer()
+	p := startProcess(t, fakeplatform.New(fakeplatform.Config{}), held)
+	ended := p.send(held)
+	p.signal(syscall.SIGUSR1)
+	if dump := p.waitForLog("event=107"); !strings.Contains(dump, `in_progress`) {
+		t.Errorf("dump %.200s", dump)
+	}
+	p.signal(syscall.SIGTERM)
+	p.waitForLog("event=102")
+	close(held.release)
+	if text := <-ended; text != "200 done <nil>" {
+		t.Errorf("the request ended with %s", text)
+	}
+	p.waitForLog("event=101")
+	if code := p.exitCode(); code != exitOK {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+func TestSecondSignalEndsTheDaemonAtOnce(t *testing.T) {
+	held := newHeldServer()
+	p := startProcess(t, fakeplatform.New(fakeplatform.Config{}), held)
+	ended := p.send(held)
+	p.signal(syscall.SIGTERM)
+	p.waitForLog("event=102")
+	p.signal(syscall.SIGINT)
+	if code := p.exitCode(); code != exitAborted {
+		t.Errorf("exit code %d", code)
+	}
+	if text := <-ended; strings.HasPrefix(text, "200") {
+		t.Errorf("the request ended with %s", text)
+	}
+}
+
+func TestServeWithATakenPortExitsWithRemedy(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	settings := filepath.Join(t.TempDir(), "settings.ini")
+	text := fmt.Sprintf("[daemon]\nid = d1\nhttp_address = %s\npeer_address = 127.0.0.1:0\nregion = r\nfailure_domain = f\n[platform]\naddress = 127.0.0.1:1\nweight_address = 127.0.0.1:1\n", taken.Addr())
+	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	var stdout, stderr bytes.Buffer
+	if code := run([]string{"serve", "--settings", settings}, &stdout, &stderr); code != exitUsage || !strings.Contains(stderr.String(), "choose another address") {
+		t.Errorf("exit code %d: %s", code, &stderr)
+	}
+}
--- /dev/null
+++ b/cmd/hornbeamtide/session_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeweights"
+	"github.com/hornbeamtide/hornbeamtide/standin/local"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// place is the failure domain of the tests' daemons.
+var place = local.Place{Region: "pk-south", FailureDomain: "khi-a"}
+
+// firstVersion keeps versions apart from all other numbers of a session.
+const firstVersion = 7000
+
+// session records commands and what they print.
+type session struct {
+	t       *testing.T
+	system  *local.System
+	folder  string
+	log     strings.Builder
+	address string
+}
+
+func newSession(t *testing.T, daemons int) *session {
+	t.Helper()
+	system, err := local.New(fakeweights.Config{}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(system.Close)
+	for range firstVersion {
+		system.Platform.Put("test/counter", nil)
+	}
+	for i := range daemons {
+		if _, err := system.StartDaemon(fmt.Sprintf("d%d", i+1), place, ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := system.WaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return &session{t: t, system: system, folder: t.TempDir(), address: system.Daemons[0].Address()}
+}
+
+// hornbeamtide runs one command line, records it and returns what it printed.
+func (s *session) hornbeamtide(args ...string) string {
+	s.t.Helper()
+	var stdout, stderr bytes.Buffer
+	code := run(args, &stdout, &stderr)
+	fmt.Fprintf(&s.log, "$ hornbeamtide %s\n%s%s", strings.Join(args, " "), stdout.String(), stderr.String())
+	if code != exitOK {
+		fmt.Fprintf(&s.log, "[exit code %d]\n", code)
+	}
+	s.log.WriteString("\n")
+	return stdout.String()
+}
+
+func (s *session) note(text string) { s.log.WriteString("# " + text + "\n") }
+
+func (s *session) write(name, text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.folder, name)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func (s *session) read(path string) string {
+	s.t.Helper()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(content)
+}
+
+// normalise replaces what differs between runs.
+func (s *session) normalise() string {
+	text := strings.ReplaceAll(s.log.String(), s.folder+"/", "")
+	for _, replacement := range []struct{ pattern, with string }{
+		{`127\.0\.0\.1:\d+`, "ADDRESS"},
+		{`after \d+\.\ds`, "after TIME"},
+		{`\d{4}-\d\d-\d\d[T ]\d\d:\d\d:\d\d(\.\d+)?Z?`, "TIME"},
+		{`\b\d\d:\d\d:\d\d\b`, "TIME"},
+		{`hornbeamtide (\S+) \S* go\S+`, "hornbeamtide $1 REVISION GO"},
+	} {
+		text = regexp.MustCompile(replacement.pattern).ReplaceAllString(text, replacement.with)
+	}
+	return nameVersions(text)
+}
+
+// nameVersions writes object versions as V1, V2, … in the order of their appearance.
+func nameVersions(text string) string {
+	names := map[string]string{}
+	return regexp.MustCompile(`\b\d{4,}\b`).ReplaceAllStringFunc(text, func(number string) string {
+		if n, err := strconv.Atoi(number); err != nil || n < firstVersion {
+			return number
+		}
+		if names[number] == "" {
+			names[number] = fmt.Sprintf("V%d", len(names)+1)
+		}
+		return names[number]
+	})
+}
+
+func (s *session) compare(name string) {
+	s.t.Helper()
+	path, got := filepath.Join("testdata", name), s.normalise()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			s.t.Fatal(err)
+		}
+		return
+	}
+	if want := s.read(path); got != want {
+		for _, line := range diffLines(want, got) {
+			s.t.Log(line)
+		}
+		s.t.Errorf("the session differs from %s; look at it and run the test with -update", path)
+	}
+}
+
+func TestSessionOfOneOperator(t *testing.T) {
+	s := newSession(t, 2)
+	a := "--address=" + s.address
+	s.hornbeamtide("version")
+	s.hornbeamtide("check", "testdata/desk.ini", "testdata/faulty.ini")
+	s.hornbeamtide("get", a)
+	s.hornbeamtide("apply", a, "testdata/desk.ini")
+	s.hornbeamtide("get", a)
+	text := s.hornbeamtide("get", a, "ledgerdesk")
+	s.note("deadline changed in an editor")
+	changed := s.write("changed.ini", strings.Replace(text, "deadline = 5s", "deadline = 4s", 1))
+	s.hornbeamtide("apply", a, "--json", changed)
+	s.hornbeamtide("status", a)
+	s.hornbeamtide("status", a, "--json")
+	s.hornbeamtide("alarms", a)
+	s.hornbeamtide("dump", a, "--module", "router")
+	s.hornbeamtide("get", a, "orders-app")
+	s.compare("operator.golden")
+}
+
+func TestSessionOfTwoRacingOperators(t *testing.T) {
+	s := newSession(t, 2)
+	first, second := "--address="+s.address, "--address="+s.system.Daemons[1].Address()
+	s.hornbeamtide("apply", first, "testdata/desk.ini")
+	mine := s.hornbeamtide("get", first, "ledgerdesk")
+	theirs := s.hornbeamtide("get", second, "ledgerdesk")
+	s.note("both edit")
+	s.hornbeamtide("apply", first, s.write("mine.ini", strings.Replace(mine, "deadline = 5s", "deadline = 4s", 1)))
+	late := s.write("theirs.ini", strings.Replace(theirs, "POST /billing", "POST /billing, POST /audit", 1))
+	s.hornbeamtide("apply", second, late)
+	s.hornbeamtide("apply", second, "--json", late)
+	s.note("the second operator repeats the change on the current document")
+	current := s.hornbeamtide("get", second, "ledgerdesk")
+	s.hornbeamtide("apply", second, s.write("merged.ini", strings.Replace(current, "POST /billing", "POST /billing, POST /audit", 1)))
+	s.note("a new document of the same name")
+	s.hornbeamtide("apply", first, "testdata/desk.ini")
+	s.compare("race.golden")
+}
+
+func TestSessionDuringPlatformOutage(t *testing.T) {
+	s := newSession(t, 1)
+	a := "--address=" + s.address
+	s.hornbeamtide("apply", a, "testdata/desk.ini")
+	text := s.hornbeamtide("get", a, "ledgerdesk")
+	s.system.Platform.SetFaults(fakeplatform.Faults{Outage: true})
+	s.note("the platform is down: the document stays in force and no change is taken")
+	s.hornbeamtide("get", a, "ledgerdesk")
+	s.hornbeamtide("apply", a, s.write("changed.ini", strings.Replace(text, "deadline = 5s", "deadline = 4s", 1)))
+	s.hornbeamtide("alarms", a)
+	s.system.Platform.SetFaults(fakeplatform.Faults{LoseAnswers: 1})
+	s.note("the platform is back and loses the answer to the next write")
+	s.hornbeamtide("apply", a, filepath.Join(s.folder, "changed.ini"))
+	s.compare("outage.golden")
+}
+
+func TestAlarmsAreShownWithEvidenceAndRemedy(t *testing.T) {
+	s := newSession(t, 2)
+	a := "--address=" + s.address
+	s.hornbeamtide("alarms", a)
+	s.system.Daemons[1].Recorder().Broken(alarm.AtMostOnce, alarm.Evidence{Service: "ledgerdesk", Subject: "key-17", Detail: "ran on desk-1 and on desk-2"})
+	s.hornbeamtide("alarms", a)
+	s.hornbeamtide("alarms", a, "--json")
+	s.compare("alarms.golden")
+}
--- a/cmd/hornbeamtide/status.go
+++ b/cmd/hornbeamtide/status.go
@@ -122,8 +122,8 @@
 		_, err = c.stdout.Write(got.body)
 		return err
 	}
-	if err := json.Unmarshal(got.body, &dump); err != nil {
-		return fault.Wrap(err, fault.Unavailable, "the answer is not JSON", "use the same version for daemon and tool")
+	if err := decode(got.body, &dump); err != nil {
+		return err
 	}
 	names := make([]string, 0, len(dump.Modules))
 	for _, module := range dump.Modules {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 )
@@ -100,3 +101,6 @@
 	}
 	return health
 }
+
+// Recorder returns where the daemon's modules record broken promises.
+func (d *Daemon) Recorder() alarm.Recorder { return d.modules.Alarms }
