--- a/cmd/hornbeamtide/process_test.go
+++ b/cmd/hornbeamtide/process_test.go
@@ -36,6 +36,7 @@
 }
 
 func TestExitCodes(t *testing.T) {
+	t.Parallel()
 	settings := filepath.Join(t.TempDir(), "settings.ini")
 	if err := os.WriteFile(settings, []byte("[daemon]\nid = d1\n"), 0o644); err != nil {
 		t.Fatal(err)
@@ -232,6 +233,7 @@
 }
 
 func TestTerminateEndsRequestsInProgressThenExitsZero(t *testing.T) {
+	t.Parallel()
 	held := newHeldServer()
 	p := startProcess(t, fakeplatform.New(fakeplatform.Config{}), held)
 	ended := p.send(held)
@@ -252,6 +254,7 @@
 }
 
 func TestSecondSignalEndsTheDaemonAtOnce(t *testing.T) {
+	t.Parallel()
 	held := newHeldServer()
 	p := startProcess(t, fakeplatform.New(fakeplatform.Config{}), held)
 	ended := p.send(held)
@@ -267,6 +270,7 @@
 }
 
 func TestServeWithATakenPortExitsWithRemedy(t *testing.T) {
+	t.Parallel()
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/hornbeamtide/session_test.go
+++ b/cmd/hornbeamtide/session_test.go
@@ -136,6 +136,7 @@
 }
 
 func TestSessionOfOneOperator(t *testing.T) {
+	t.Parallel()
 	s := newSession(t, 2)
 	a := "--address=" + s.address
 	s.hornbeamtide("version")
@@ -156,6 +157,7 @@
 }
 
 func TestSessionOfTwoRacingOperators(t *testing.T) {
+	t.Parallel()
 	s := newSession(t, 2)
 	first, second := "--address="+s.address, "--address="+s.system.Daemons[1].Address()
 	s.hornbeamtide("apply", first, "testdata/desk.ini")
@@ -175,6 +177,7 @@
 }
 
 func TestSessionDuringPlatformOutage(t *testing.T) {
+	t.Parallel()
 	s := newSession(t, 1)
 	a := "--address=" + s.address
 	s.hornbeamtide("apply", a, "testdata/desk.ini")
@@ -191,6 +194,7 @@
 }
 
 func TestAlarmsAreShownWithEvidenceAndRemedy(t *testing.T) {
+	t.Parallel()
 	s := newSession(t, 2)
 	a := "--address=" + s.address
 	s.hornbeamtide("alarms", a)
--- /dev/null
+++ b/daemon/alarms_test.go
@@ -0,0 +1,122 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/rollout"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
+	"github.com/hornbeamtide/hornbeamtide/standin/local"
+	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
+)
+
+// stepLimit bounds one training step of a test.
+const stepLimit = 60 * time.Second
+
+// applyDraftpool puts the example document in force, with a step time.
+func applyDraftpool(t *testing.T, s *local.System, stepTime string) {
+	t.Helper()
+	source, err := os.ReadFile("../examples/documents/draftpool.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := s.Apply("draftpool", []byte(strings.Replace(string(source), "step_time = 40m", "step_time = "+stepTime, 1)))
+	for _, d := range s.Daemons {
+		one := &session{t: t, daemon: d}
+		one.waitInForce(fmt.Sprint(version), len(s.Daemons))
+	}
+}
+
+// step runs one step of 4 groups of 4 samples. midway is called once when samples arrived.
+func step(t *testing.T, s *local.System, midway func()) trainer.Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), stepLimit)
+	defer cancel()
+	tr := trainer.New(trainer.Config{
+		Name: "captions", Service: "draftpool", Daemons: s.Addresses(), Bound: 2, Max: 4,
+		Version: func() int64 { return 1 },
+	})
+	if err := tr.Open(ctx); err != nil {
+		t.Fatal(err)
+	}
+	var groups []rollout.Group
+	for i := range 4 {
+		groups = append(groups, rollout.Group{ID: fmt.Sprintf("g%d", i), Prompt: fmt.Sprintf("Observer note %d", i), Samples: 4, MaxTokens: 64})
+	}
+	done := false
+	result, err := tr.Step(ctx, 1, groups, func(int) {
+		if !done {
+			done = true
+			midway()
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Broken() {
+		t.Errorf("the step broke a promise: %+v", result)
+	}
+	return result
+}
+
+func TestAlarmsAreSilentUnderFaultsThatBrokeNothing(t *testing.T) {
+	t.Parallel()
+	s := newRegion(t, 3, "")
+	applyDraftpool(t, s, "10m")
+	step(t, s, func() {
+		s.Engines[0].Crash()
+		s.Platform.SetFaults(fakeplatform.Faults{Outage: true})
+		go func() { _ = s.Daemons[2].Stop() }()
+	})
+	s.Platform.SetFaults(fakeplatform.Faults{LoseAnswers: 2, SlowMS: 50, SilenceWatches: true})
+	const watched = 3 * time.Second // a few rounds of the in-force watch
+	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(watched / 10) {
+		for _, d := range s.Daemons[:2] {
+			if alarms := statusOf(t, d).Alarms; len(alarms) > 0 {
+				t.Fatalf("alarms on %s: %+v", d.ID, alarms)
+			}
+		}
+	}
+}
+
+func TestLateStepRaisesTrainerIdleAndClears(t *testing.T) {
+	t.Parallel()
+	s := newRegion(t, 1, "[alarms]\nclear_after = 1s\n")
+	applyDraftpool(t, s, "1s")
+	for _, engine := range s.Engines {
+		engine.SetFaults(fakeengine.Faults{Slow: 30})
+	}
+	seen := make(chan alarm.Alarm, 1)
+	watching, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() {
+		for watching.Err() == nil {
+			if alarms := statusOf(t, s.Daemons[0]).Alarms; len(alarms) > 0 {
+				seen <- alarms[0].Alarm
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	step(t, s, func() {})
+	select {
+	case a := <-seen:
+		if a.Promise != alarm.TrainerIdle || a.Service != "draftpool" || a.Evidence[0].Subject == "" || a.Remedy == "" {
+			t.Errorf("alarm %+v", a)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("no alarm for a step that took longer than its time")
+	}
+	const generous = 20 * time.Second
+	for end := time.Now().Add(generous); len(statusOf(t, s.Daemons[0]).Alarms) > 0; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the alarm does not clear")
+		}
+	}
+}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 )
 
 func TestPortInUseIsRefusedAndNothingStaysOpen(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, 0)
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,6 +39,7 @@
 }
 
 func TestRequestsPassThroughTheDaemon(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, time.Millisecond)
 	d := s.start(s.settings(1))
 	s.apply(d, "ledgerdesk")
@@ -56,6 +58,7 @@
 }
 
 func TestIsolatedDaemonRefusesWorkAsNotRunAndRecovers(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, time.Millisecond)
 	d := s.start(s.settings(1))
 	s.apply(d, "ledgerdesk")
@@ -79,6 +82,7 @@
 }
 
 func TestDumpAndMetricsShowEveryModule(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, 0)
 	d := s.start(s.settings(1))
 	s.apply(d, "draftpool")
@@ -90,18 +94,21 @@
 	for _, module := range dump.Modules {
 		shown[module.Module] = module.State != nil
 	}
-	for _, name := range []string{"platform", "peer", "fleet", "routing", "claims", "dispatch", "weights", "rollout", "alarm"} {
-		if !shown[name] {
-			t.Errorf("module %s is not in the dump", name)
+	for _, part := range d.parts() {
+		if !shown[part.name] && !stateless[part.name] {
+			t.Errorf("module %s is not in the dump", part.name)
 		}
 	}
 	var vars map[string]json.RawMessage
 	if err := json.Unmarshal([]byte(d.call(http.MethodGet, "/debug/vars", "").body), &vars); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"process", "platform", "peer", "fleet", "routing", "claims", "dispatch", "weights", "rollout", "alarm"} {
+	for _, name := range []string{"process", "platform", "peer", "fleet", "routing", "admission", "claims", "dispatch", "weights", "rollout", "alarm"} {
 		if vars[name] == nil {
 			t.Errorf("no metrics of %s", name)
 		}
 	}
 }
+
+// stateless are the modules that keep nothing worth a dump.
+var stateless = map[string]bool{"backend": true, "peer_server": true, "in_force": true}
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -62,6 +62,7 @@
 }
 
 func TestPlannedStopUnderLoadCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, 20*time.Millisecond)
 	d := s.start(s.settings(1))
 	s.apply(d, "draftpool")
@@ -104,6 +105,7 @@
 }
 
 func TestHealthFailsBeforeWorkIsRefused(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, time.Millisecond)
 	settings := s.settings(1)
 	settings.Daemon.DrainNotice = 500 * time.Millisecond
@@ -125,6 +127,7 @@
 }
 
 func TestStopDuringPlatformOutageCutsNothing(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, 3*time.Second)
 	d := s.start(s.settings(1))
 	s.apply(d, "ledgerdesk")
@@ -147,6 +150,7 @@
 }
 
 func TestRequestsCutAtTheEndOfTheDrainTimeAreTold(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, generous)
 	settings := s.settings(1)
 	settings.Daemon.DrainTime = 100 * time.Millisecond
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/admission"
 	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/claims"
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
@@ -47,6 +48,8 @@
 		return m.Dump()
 	case *routing.Store:
 		return m.Dump()
+	case *admission.Controller:
+		return m.Dump()
 	case *claims.Manager:
 		return m.Dump()
 	case *dispatch.Manager:
@@ -70,6 +73,8 @@
 		return m.Counters()
 	case *routing.Store:
 		return m.Counters()
+	case *admission.Controller:
+		return m.Counters()
 	case *claims.Manager:
 		return m.Counters()
 	case *dispatch.Manager:
--- a/daemon/schema.go
+++ b/daemon/schema.go
@@ -22,6 +22,7 @@
 		weightsSection(),
 		claimsSection(),
 		rolloutSection(),
+		alarmsSection(),
 		logSection(),
 	}
 }
@@ -143,6 +144,17 @@
 	}
 }
 
+func alarmsSection() inifile.SectionSchema[Settings] {
+	return inifile.SectionSchema[Settings]{
+		Name: "alarms",
+		Text: "When alarms are raised and cleared.",
+		Keys: []inifile.KeySchema[Settings]{
+			duration("clear_after", 30*time.Second, "An alarm clears when its promise was not broken again for this long.", func(s *Settings) *time.Duration { return &s.Alarms.ClearAfter }),
+			duration("in_force", 10*time.Second, "A document is in force on all daemons within this, or an alarm is raised.", func(s *Settings) *time.Duration { return &s.Alarms.InForce }),
+		},
+	}
+}
+
 func logSection() inifile.SectionSchema[Settings] {
 	return inifile.SectionSchema[Settings]{
 		Name: "log",
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -19,6 +19,7 @@
 	Weights  WeightSettings
 	Claims   ClaimSettings
 	Rollout  RolloutSettings
+	Alarms   AlarmSettings
 	Log      LogSettings
 }
 
@@ -98,6 +99,12 @@
 	Freshness        bool
 }
 
+// AlarmSettings holds the [alarms] section.
+type AlarmSettings struct {
+	ClearAfter time.Duration
+	InForce    time.Duration
+}
+
 // LogLevel is the least severe level that is written.
 type LogLevel string
 
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -24,14 +24,12 @@
 
 // Bounds that need no setting.
 const (
-	subsetSize        = 24               // servers of a pool that one daemon talks to
-	collectorsADomain = 2                //
-	stepRetention     = 2 * time.Hour    // an idle step is forgotten after this
-	tokenInterval     = 5 * time.Second  // between two stores of a trainer's newest token
-	claimRetention    = 24 * time.Hour   // a request key is remembered for this long
-	alarmClearAfter   = 30 * time.Second // an alarm clears without a new break
-	inForceLimit      = 10 * time.Second // a document is in force everywhere after this
-	inForceInterval   = time.Second      // between two looks at where documents are in force
+	subsetSize        = 24              // servers of a pool that one daemon talks to
+	collectorsADomain = 2               //
+	stepRetention     = 2 * time.Hour   // an idle step is forgotten after this
+	tokenInterval     = 5 * time.Second // between two stores of a trainer's newest token
+	claimRetention    = 24 * time.Hour  // a request key is remembered for this long
+	inForceInterval   = time.Second     // between two looks at where documents are in force
 )
 
 // listeners are bound before any module exists, so that nothing half-starts.
@@ -104,7 +102,7 @@
 		provide(func() claims.Config { return claimsConfig(s) }),
 		provide(func() rollout.Config { return rolloutConfig(s) }),
 		provide(func() weights.Config { return weightsConfig(s) }),
-		provide(func() alarm.Config { return alarm.Config{ClearAfter: alarmClearAfter} }),
+		provide(func() alarm.Config { return alarm.Config{ClearAfter: s.Alarms.ClearAfter} }),
 
 		provide(platform.NewClient),
 		provideAs[platform.Client](new(platform.ObjectStore), new(platform.InstanceList), new(platform.WeightStore)),
@@ -124,7 +122,7 @@
 		provide(claims.NewManager),
 		provideAs[claims.Manager](new(claims.Claimer)),
 		provide(func() alarm.InForceConfig {
-			return alarm.InForceConfig{Limit: inForceLimit, Interval: inForceInterval}
+			return alarm.InForceConfig{Limit: s.Alarms.InForce, Interval: inForceInterval}
 		}),
 		provide(alarm.NewInForceWatch),
 		provide(alarm.NewManager),
