--- /dev/null
+++ b/daemon/promises_test.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+)
+
+var (
+	testName = regexp.MustCompile("`((?:Test|Fuzz)[A-Z][A-Za-z0-9_]*)`")
+	testFunc = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Z][A-Za-z0-9_]*)\(`)
+)
+
+// testsOfWorkspace returns the names of all test functions of the workspace.
+func testsOfWorkspace(t *testing.T) map[string]bool {
+	t.Helper()
+	found := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, match := range testFunc.FindAllSubmatch(source, -1) {
+			found[string(match[1])] = true
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found
+}
+
+func TestPromisesPageNamesTestsThatExist(t *testing.T) {
+	page, err := os.ReadFile("../docs/PROMISES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := testsOfWorkspace(t)
+	var missing []string
+	for _, match := range testName.FindAllSubmatch(page, -1) {
+		if name := string(match[1]); !found[name] {
+			missing = append(missing, name)
+		}
+	}
+	sort.Strings(missing)
+	for _, name := range missing {
+		t.Errorf("docs/PROMISES.md names %s, which does not exist", name)
+	}
+}
+
+func TestPromisesPageHasARowForEachAlarm(t *testing.T) {
+	page, err := os.ReadFile("../docs/PROMISES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for _, line := range strings.Split(string(page), "\n") {
+		if strings.HasPrefix(line, "| ") && testName.MatchString(line) {
+			rows = append(rows, line)
+		}
+	}
+	for _, promise := range alarm.Promises() {
+		if promise == alarm.TrainerIdle {
+			continue // a measure of the users, not one of the nine promises
+		}
+		named := 0
+		for _, row := range rows {
+			if strings.Contains(row, "| `"+string(promise)+"` |") {
+				named++
+			}
+		}
+		if named != 1 {
+			t.Errorf("%d rows for promise %s with tests, want 1", named, promise)
+		}
+	}
+}
