alarm, daemon: alarm for unanswered requests over their budget

Cause: callers that stay without an answer are an outcome that no alarm told. Change: the daemon counts per service how requests end and records a break when more than alarms.unanswered percent (5) and at least 20 stay unanswered within a minute; callers that went away, wrong inputs and planned stops do not count. Errors of the system carry the header X-Error-Kind, which tells them from a backend server's own. Conclusion: silent while all is answered, raised with service and request id.

--- a/alarm/alarm.go
+++ b/alarm/alarm.go
@@ -19,6 +19,7 @@
 	PlannedStop    Promise = "planned_stop"    // planned stops cut nothing
 	InForce        Promise = "config_in_force" // documents in force in time, never reverting
 	TrainerIdle    Promise = "trainer_idle"    // steps whole within their time
+	Unanswered     Promise = "unanswered"      // requests answered within their deadlines
 )
 
 // Evidence is what an alarm shows.
--- a/alarm/remedy.go
+++ b/alarm/remedy.go
@@ -5,6 +5,7 @@
 	return []Promise{
 		VersionTags, StalenessBound, ExactlyOnce, WholeAnswers, NotRunTruth,
 		AtMostOnce, LeavingServers, PlannedStop, InForce, TrainerIdle,
+		Unanswered,
 	}
 }
 
@@ -29,6 +30,8 @@
 		return "raise daemon.drain_time above the longest deadline of the services"
 	case InForce:
 		return "look at the daemons that status lists as behind, and restart those that do not catch up"
+	case Unanswered:
+		return "add backend servers, raise requests.deadline, or lower the limits of the teams that send most"
 	case TrainerIdle:
 		return "look at the step in the dump: add replicas, lower max_tokens or raise samples.step_time"
 	}
--- a/daemon/alarms_test.go
+++ b/daemon/alarms_test.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/rollout"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
+	"github.com/hornbeamtide/hornbeamtide/standin/fakeplain"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
 	"github.com/hornbeamtide/hornbeamtide/standin/local"
 	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
@@ -120,3 +121,32 @@
 		}
 	}
 }
+
+func TestUnansweredRequestsOfAServiceAreTold(t *testing.T) {
+	t.Parallel()
+	s := newRegion(t, 1, "")
+	source, err := os.ReadFile("testdata/desk.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := s.Apply("ledgerdesk", source)
+	one := &session{t: t, daemon: s.Daemons[0]}
+	one.waitInForce(fmt.Sprint(version), 1)
+	send := func(path string) {
+		one.call("GET", "/v1/services/ledgerdesk"+path, "")
+	}
+	for range 30 {
+		send("/records")
+	}
+	if alarms := statusOf(t, s.Daemons[0]).Alarms; len(alarms) > 0 {
+		t.Fatalf("alarms while all is answered: %+v", alarms)
+	}
+	s.Plains[0].SetFaults(fakeplain.Faults{NotStarted: 1000})
+	for range 30 {
+		send("/records")
+	}
+	alarms := statusOf(t, s.Daemons[0]).Alarms
+	if len(alarms) != 1 || alarms[0].Promise != alarm.Unanswered || alarms[0].Service != "ledgerdesk" || alarms[0].Evidence[0].Subject == "" {
+		t.Errorf("alarms %+v", alarms)
+	}
+}
--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -118,6 +118,6 @@
 		return
 	}
 	if got != want.String() {
-		t.Errorf("docs/SETTINGS.md differs from the schema; run go test ./daemon -run Page -update\ngot:\n%s\nwant:\n%s", got, want.String())
+		t.Errorf("docs/SETTINGS.md differs from the schema; run go test ./daemon -run SettingsPage -update\ngot:\n%s\nwant:\n%s", got, want.String())
 	}
 }
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -92,6 +92,12 @@
 	return g.state, g.progress
 }
 
+func (g *gate) draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state == Draining
+}
+
 // wait blocks until no request is in progress after set(Draining), or ctx ends. It
 // returns the requests that are left.
 func (g *gate) wait(ctx context.Context) int {
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -27,8 +27,8 @@
 	})
 	r.Group(func(work chi.Router) {
 		work.Use(d.admit)
-		work.Handle("/v1/services/{service}/*", d.modules.Dispatch)
-		work.Handle("/v1/services/{service}", d.modules.Dispatch)
+		work.Handle("/v1/services/{service}/*", d.countAnswer(d.modules.Dispatch))
+		work.Handle("/v1/services/{service}", d.countAnswer(d.modules.Dispatch))
 		work.Route("/v1/trainers", d.modules.Rollout.Routes)
 	})
 	r.Get("/v1/documents", d.listDocuments)
--- a/daemon/promises_test.go
+++ b/daemon/promises_test.go
@@ -70,8 +70,8 @@
 		}
 	}
 	for _, promise := range alarm.Promises() {
-		if promise == alarm.TrainerIdle {
-			continue // a measure of the users, not one of the nine promises
+		if promise == alarm.TrainerIdle || promise == alarm.Unanswered {
+			continue // budgets, not one of the nine promises
 		}
 		named := 0
 		for _, row := range rows {
--- a/daemon/schema.go
+++ b/daemon/schema.go
@@ -151,6 +151,7 @@
 		Keys: []inifile.KeySchema[Settings]{
 			duration("clear_after", 30*time.Second, "An alarm clears when its promise was not broken again for this long.", func(s *Settings) *time.Duration { return &s.Alarms.ClearAfter }),
 			duration("in_force", 10*time.Second, "A document is in force on all daemons within this, or an alarm is raised.", func(s *Settings) *time.Duration { return &s.Alarms.InForce }),
+			inifile.Int("unanswered", "percent of requests", 5, 1, 100, "Requests of a service that may stay unanswered before an alarm is raised.", func(s *Settings) *int { return &s.Alarms.Unanswered }),
 		},
 	}
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -103,6 +103,7 @@
 type AlarmSettings struct {
 	ClearAfter time.Duration
 	InForce    time.Duration
+	Unanswered int // percent of a service's requests
 }
 
 // LogLevel is the least severe level that is written.
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -30,6 +30,8 @@
 	tokenInterval     = 5 * time.Second // between two stores of a trainer's newest token
 	claimRetention    = 24 * time.Hour  // a request key is remembered for this long
 	inForceInterval   = time.Second     // between two looks at where documents are in force
+	unansweredMinimum = 20              // unanswered requests of a service in a window
+	unansweredWindow  = time.Minute
 )
 
 // listeners are bound before any module exists, so that nothing half-starts.
@@ -63,6 +65,7 @@
 	Weights   *weights.Manager
 	Alarms    *alarm.Manager
 	InForce   *alarm.InForceWatch
+	Answers   *alarm.AnswerBudget
 }
 
 // wire builds the modules from the settings.
@@ -125,6 +128,10 @@
 			return alarm.InForceConfig{Limit: s.Alarms.InForce, Interval: inForceInterval}
 		}),
 		provide(alarm.NewInForceWatch),
+		provide(func() alarm.AnswerConfig {
+			return alarm.AnswerConfig{Share: s.Alarms.Unanswered, Minimum: unansweredMinimum, Window: unansweredWindow}
+		}),
+		provide(alarm.NewAnswerBudget),
 		provide(alarm.NewManager),
 		provideAs[alarm.Manager](new(alarm.Recorder)),
 		provide(newDispatch),
--- a/fault/body.go
+++ b/fault/body.go
@@ -46,9 +46,13 @@
 	return http.StatusInternalServerError
 }
 
+// HeaderKind tells errors of the system from error responses of a backend server.
+const HeaderKind = "X-Error-Kind"
+
 // WriteHTTP writes err as an error response.
 func WriteHTTP(w http.ResponseWriter, err error) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderKind, string(KindOf(err)))
 	w.WriteHeader(StatusOf(err))
 	_ = json.NewEncoder(w).Encode(BodyOf(err))
 }
