--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -56,7 +56,6 @@
 		fault.WriteHTTP(w, err)
 		return
 	}
-	d.log.Log(event.DaemonApplied, event.F("service", applied.Document.Service), event.F("version", applied.Version))
 	w.Header().Set(HeaderVersion, strconv.FormatInt(applied.Version, 10))
 	writeJSON(w, http.StatusOK, infoOf(applied))
 }
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -12,7 +12,6 @@
 	DaemonReconnected  = define(105, logrus.InfoLevel, "daemon no longer isolated", "The platform or a peer answers again; work is taken.")
 	DaemonModuleFailed = define(106, logrus.ErrorLevel, "module ended with an error", "A module of the daemon stopped; the daemon drains and exits with 1. Report the error.")
 	DaemonDump         = define(107, logrus.InfoLevel, "state dump", "The state of every module, asked for by SIGUSR1.")
-	DaemonApplied      = define(108, logrus.InfoLevel, "document accepted", "An operator's document was written to the platform; status shows where it is in force.")
 	DaemonRefused      = define(109, logrus.InfoLevel, "document refused", "An operator's document was not written; the error names the remedy.")
 	DaemonRequest      = define(110, logrus.DebugLevel, "request ended", "One HTTP request with its id, status and duration.")
 	DaemonPanic        = define(111, logrus.ErrorLevel, "request handler panicked", "A defect of this program; the request ended with kind internal. Report the stack.")
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -38,6 +38,14 @@
 	Unsupported  Kind = "not_supported" // the operation does not fit the service's kind
 )
 
+// Kinds returns all error kinds.
+func Kinds() []Kind {
+	return []Kind{
+		Invalid, NotFound, Conflict, Unavailable, Ambiguous, Overloaded, Deadline, Canceled, Fenced,
+		Truncated, Mismatched, Untagged, Stale, Draining, Isolated, Claimed, Unrecognized, Internal, Unsupported,
+	}
+}
+
 // Outcome tells a caller whether its request ran on a backend server.
 type Outcome string
 
