--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 PROTOS := $(wildcard */*pb/*.proto)
 
-.PHONY: build test check format vet lint demo bench slopes generate
+.PHONY: build test race check format vet lint demo bench slopes generate
 
 build:
 	go build -o bin/ ./cmd/hornbeamtide ./standin/cmd/standin
@@ -13,6 +13,9 @@
 test:
 	./scripts/test.sh $(PACKAGES)
 
+race:
+	go test -race -count=3 $(PACKAGES)
+
 check: format vet lint test
 
 format:
