Rollout: stragglers with little progress are moved, not hedged

Cause: with one replica ten times slower, an eighth of a step's samples ran there and the hedge budget of 5 percent could not cover them. Time waited in the engine's queue also counted as slowness.

Change: a straggler that made at most a quarter of the expected tokens is cancelled and begun again on another replica, at most twice a sample and only while all thrown away tokens stay under 5 percent. Speeds are taken from the first tokens on; a sample without tokens straggles when it waits 1.5 times longer than four fifths of the recent samples did.

--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -26,6 +27,7 @@
 	mu      sync.Mutex
 	replica string    // "" until one was chosen
 	since   time.Time // when it was chosen
+	first   time.Time // when the first tokens came, zero before
 	tokens  int       // so far
 	oldest  int64     // oldest version so far, 0 for none
 	latest  int64     // version of the latest segment
@@ -48,7 +50,7 @@
 	go func() {
 		defer cancel(nil)
 		c, err := j.m.parts.Generator.Generate(ctx, request)
-		if cause := context.Cause(ctx); err != nil && isCut(cause) {
+		if cause := context.Cause(ctx); err != nil && (isCut(cause) || errors.Is(cause, errMoved)) {
 			err = cause
 		}
 		if err == nil {
@@ -85,6 +87,9 @@
 		a.replica = replica
 		a.since = a.j.m.now()
 	}
+	if tokens > 0 && a.first.IsZero() {
+		a.first = a.j.m.now()
+	}
 	a.tokens = tokens
 }
 
@@ -180,16 +185,34 @@
 	return a.tokens
 }
 
-// elapsed returns the tokens so far and the time since the replica was chosen.
-func (a *attempt) elapsed() (tokens int, since time.Duration, chosen bool) {
+// attemptTime is how far an attempt is.
+type attemptTime struct {
+	chosen   bool // a replica was chosen
+	tokens   int
+	since    time.Duration // since then
+	decoding time.Duration // since the first tokens
+	first    time.Duration // from the choice to the first tokens
+}
+
+func (a *attempt) elapsed() attemptTime {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.replica == "" {
-		return 0, 0, false
+	e := attemptTime{chosen: a.replica != "", tokens: a.tokens}
+	if !e.chosen {
+		return e
 	}
-	return a.tokens, a.j.m.now().Sub(a.since), true
+	now := a.j.m.now()
+	e.since = now.Sub(a.since)
+	if !a.first.IsZero() {
+		e.decoding = now.Sub(a.first)
+		e.first = a.first.Sub(a.since)
+	}
+	return e
 }
 
+// errMoved ends an attempt that is begun again on another replica.
+var errMoved = errors.New("begun again on another replica")
+
 func staleCut() error {
 	return fault.New(fault.Stale, "the sample in progress is over the staleness bound or better begun again", "none needed, it is generated again")
 }
--- a/rollout/group.go
+++ b/rollout/group.go
@@ -77,8 +77,8 @@
 func (g *groupRun) finished() []finishedSample {
 	var found []finishedSample
 	for _, j := range g.siblings {
-		if tokens, took, ok := j.speed(); ok {
-			found = append(found, finishedSample{tokens: tokens, took: took})
+		if f, ok := j.finishedSpeed(); ok {
+			found = append(found, f)
 		}
 	}
 	return found
--- a/rollout/job.go
+++ b/rollout/job.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/dispatch"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
@@ -31,6 +31,7 @@
 	exclude   []string // replicas of the latest failed attempts
 	hedged    bool     // the one hedge was used
 	freshened bool     // the one restart on a newer version was used
+	moves     int      // times that it was begun again on another replica
 	lagged    bool     // the last attempt was cut on a replica that lags behind the bound
 
 	mu       sync.Mutex
@@ -39,7 +40,7 @@
 	sample   Sample    // valid when ok
 	ok       bool
 	oldest   int64
-	took     time.Duration
+	speed    finishedSample
 }
 
 func newJob(m *Manager, g *groupRun, id int32) *job {
@@ -113,7 +114,7 @@
 	if !j.ok {
 		return nil
 	}
-	return &rolloutpb.RunEvent{Id: j.key.id, Oldest: j.oldest, Tokens: int32(j.sample.Tokens), DurationMs: j.took.Milliseconds()}
+	return &rolloutpb.RunEvent{Id: j.key.id, Oldest: j.oldest, Tokens: int32(j.sample.Tokens), DurationMs: j.speed.took.Milliseconds()}
 }
 
 // run makes attempts with a backoff until one is whole or the job is cancelled. A
@@ -128,20 +129,29 @@
 			j.finish(c)
 			return
 		}
-		if isCut(err) {
-			j.m.counters.cut.Add(1)
-			if !j.lagged {
-				continue
-			}
-		} else {
-			j.m.counters.failed.Add(1)
+		if j.again(err) {
+			continue
 		}
-		j.m.parts.Log.Log(event.RolloutSampleFailed, event.F("step", j.key.step.placement()), event.F("sample", j.key.id), event.Err(err))
 		j.pause(backoff)
 		backoff = min(2*backoff, attemptBackoffMost)
 	}
 }
 
+// again counts a failed race and reports whether the next begins without a pause.
+func (j *job) again(err error) bool {
+	switch {
+	case errors.Is(err, errMoved):
+		j.m.counters.moved.Add(1)
+		return true
+	case isCut(err):
+		j.m.counters.cut.Add(1)
+		return !j.lagged
+	}
+	j.m.counters.failed.Add(1)
+	j.m.parts.Log.Log(event.RolloutSampleFailed, event.F("step", j.key.step.placement()), event.F("sample", j.key.id), event.Err(err))
+	return false
+}
+
 // pause waits for between half of d and d.
 func (j *job) pause(d time.Duration) {
 	timer := time.NewTimer(d/2 + rand.N(d/2))
@@ -154,7 +164,7 @@
 
 // race makes one attempt, and a hedge beside it if it straggles. The first whole
 // completion wins and the other attempt is cancelled; nothing of it is used.
-func (j *job) race() (dispatch.Completion, error) {
+func (j *job) race() (attemptResult, error) {
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
 	results := make(chan attemptResult, 2)
@@ -167,14 +177,14 @@
 			j.lagged = isCut(r.err) && j.lags(r.attempt)
 			if r.err == nil {
 				j.countWin(r.attempt, attempts)
-				return r.completion, nil
+				return r, nil
 			}
 			if !isCut(r.err) || j.lagged {
 				j.avoid(r.attempt.replicaID())
 			}
 			failed++
 			if failed == len(attempts) {
-				return dispatch.Completion{}, r.err
+				return r, r.err
 			}
 		case <-ticker.C:
 			j.cutStale(attempts)
@@ -202,8 +212,8 @@
 	}
 }
 
-// hedge starts a second attempt on another replica when the only one straggles and
-// the service's budget allows it.
+// hedge moves a straggler to another replica when little of it was generated, or
+// starts a second attempt on one when the service's budget allows it.
 func (j *job) hedge(ctx context.Context, results chan<- attemptResult, attempts []*attempt, failed int) *attempt {
 	if j.m.config.DisableHedging || j.hedged || len(attempts) != 1 || failed > 0 {
 		return nil
@@ -212,6 +222,12 @@
 	if err != nil || doc.Samples.Hedges == 0 || !j.straggles(attempts[0], doc) {
 		return nil
 	}
+	if j.betterMoved(attempts[0], doc) {
+		j.moves++
+		j.m.runner.speeds.throwAway(doc.Service, attempts[0].progress())
+		attempts[0].cancel(errMoved)
+		return nil
+	}
 	if !j.m.runner.speeds.takeHedge(doc) {
 		return nil
 	}
@@ -236,10 +252,11 @@
 }
 
 // finish holds the sample.
-func (j *job) finish(c dispatch.Completion) {
+func (j *job) finish(r attemptResult) {
 	j.m.counters.generated.Add(1)
-	took := c.Ended.Sub(c.Started)
-	j.m.runner.speeds.add(j.group.definition.Service, c.Tokens, took)
+	c := r.completion
+	speed := finishedSample{tokens: c.Tokens, first: r.attempt.elapsed().first, took: c.Ended.Sub(c.Started)}
+	j.m.runner.speeds.add(j.group.definition.Service, speed)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.sample = Sample{
@@ -252,12 +269,12 @@
 	}
 	j.ok = true
 	j.oldest = oldestVersion(c.Segments)
-	j.took = took
+	j.speed = speed
 }
 
-// speed returns the tokens and the duration of a finished sample.
-func (j *job) speed() (tokens int, took time.Duration, ok bool) {
+// finishedSpeed returns how the sample was generated, if that was here.
+func (j *job) finishedSpeed() (finishedSample, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.sample.Tokens, j.took, j.ok
+	return j.speed, j.ok && j.speed.took > 0
 }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -71,7 +71,7 @@
 }
 
 type counters struct {
-	delivered, generated, failed, stale, cut, hedged, hedgeWins, discarded, rebuilt, fenced, busy atomic.Int64
+	delivered, generated, failed, stale, cut, moved, hedged, hedgeWins, discarded, rebuilt, fenced, busy atomic.Int64
 }
 
 // NewManager returns a Manager. Register and Run start it.
@@ -223,6 +223,7 @@
 		"failed":      c.failed.Load(),
 		"stale":       c.stale.Load(),
 		"cut":         c.cut.Load(),
+		"moved":       c.moved.Load(),
 		"hedged":      c.hedged.Load(),
 		"hedge_wins":  c.hedgeWins.Load(),
 		"discarded":   c.discarded.Load(),
--- a/rollout/straggler.go
+++ b/rollout/straggler.go
@@ -14,8 +14,11 @@
 	siblingsLeast   = 2                      // finished samples of the group before they count
 	slowFactor      = 2.0                    // times slower than the median is a straggler, idle time preference
 	slowFactorFresh = 3.0                    // the same, staleness preference
-	hedgeAge        = 0.5                    // part of the median duration before an attempt is judged
+	hedgeAge        = 0.25                   // part of the median decoding time before an attempt is judged
 	hedgeAgeLeast   = 150 * time.Millisecond // the same, at least
+	waitFactor      = 1.5                    // times longer than nearly all waited for their first tokens
+	movesMost       = 2                      // times that a straggler is begun again elsewhere
+	moveShare       = 0.25                   // part of the expected tokens up to which it is
 	hedgeCreditMost = 16                     // unused hedges that a service keeps
 	hedgeTokenShare = 0.05                   // thrown away tokens over generated ones
 )
@@ -34,15 +37,18 @@
 	wasted    int64   // tokens of attempts that lost against a hedge or the first
 }
 
+// finishedSample is how a sample was generated.
 type finishedSample struct {
 	tokens int
-	took   time.Duration
+	first  time.Duration // until the first tokens
+	took   time.Duration // in all
 }
 
-// rate returns the tokens a second.
-func (f finishedSample) rate() float64 {
-	return float64(f.tokens) / max(f.took.Seconds(), 1e-6)
-}
+// decoding returns the time after the first tokens.
+func (f finishedSample) decoding() time.Duration { return max(f.took-f.first, time.Microsecond) }
+
+// rate returns the tokens a second after the first ones.
+func (f finishedSample) rate() float64 { return float64(f.tokens) / f.decoding().Seconds() }
 
 func newSpeeds() *speeds { return &speeds{by: map[string]*serviceSpeed{}} }
 
@@ -56,12 +62,11 @@
 }
 
 // add takes in a finished sample.
-func (s *speeds) add(service string, tokens int, took time.Duration) {
+func (s *speeds) add(service string, f finishedSample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.service(service)
-	v.generated += int64(tokens)
-	f := finishedSample{tokens: tokens, took: took}
+	v.generated += int64(f.tokens)
 	if len(v.recent) < speedWindow {
 		v.recent = append(v.recent, f)
 	} else {
@@ -84,13 +89,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.service(doc.Service)
-	if v.credit < 1 || float64(v.wasted) > hedgeTokenShare*float64(v.generated) {
+	if v.credit < 1 || v.overWasted() {
 		return false
 	}
 	v.credit--
 	return true
 }
 
+// mayWaste reports whether the tokens thrown away so far are within their share.
+func (s *speeds) mayWaste(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.service(service).overWasted()
+}
+
+func (v *serviceSpeed) overWasted() bool {
+	return float64(v.wasted) > hedgeTokenShare*float64(v.generated)
+}
+
 // throwAway counts tokens of an attempt that lost.
 func (s *speeds) throwAway(service string, tokens int) {
 	s.mu.Lock()
@@ -134,39 +150,65 @@
 // straggles reports whether an attempt is much slower than its group's finished
 // samples, or than the service's recent ones while the group has too few. A sample that
 // is long but as fast as the others does not straggle: a second attempt of it would be
-// as long.
+// as long. One that still waits for its first tokens straggles when it waits much
+// longer than nearly all others did.
 func (j *job) straggles(a *attempt, doc *document.Document) bool {
-	tokens, since, chosen := a.elapsed()
-	if !chosen || since < hedgeAgeLeast {
+	e := a.elapsed()
+	if !e.chosen || e.since < hedgeAgeLeast {
 		return false
 	}
+	recent := j.m.runner.speeds.recent(doc.Service)
+	if e.tokens == 0 {
+		return len(recent) >= speedLeast && e.since.Seconds() > waitFactor*longWait(recent).Seconds()
+	}
 	reference := j.group.finished()
 	if len(reference) < max(siblingsLeast, len(j.group.siblings)/2) {
-		reference = j.m.runner.speeds.recent(doc.Service)
+		reference = recent
 		if len(reference) < speedLeast {
 			return false
 		}
 	}
-	rate, duration := medians(reference)
-	if since.Seconds() < hedgeAge*duration.Seconds() {
+	rate, decoding := medians(reference)
+	if e.decoding.Seconds() < hedgeAge*decoding.Seconds() {
 		return false
 	}
 	factor := slowFactor
 	if doc.Samples.Preference == document.PreferStaleness {
 		factor = slowFactorFresh
 	}
-	return finishedSample{tokens: tokens, took: since}.rate()*factor < rate
+	return finishedSample{tokens: e.tokens, took: e.decoding}.rate()*factor < rate
+}
+
+// betterMoved reports whether a straggler is better cancelled and begun again on
+// another replica than hedged: when little was generated, that costs few tokens and
+// leaves the slow replica.
+func (j *job) betterMoved(a *attempt, doc *document.Document) bool {
+	if j.moves >= movesMost || !j.m.runner.speeds.mayWaste(doc.Service) {
+		return false
+	}
+	expected := j.m.runner.speeds.expectedTokens(doc.Service, int(j.group.group.MaxTokens))
+	return float64(a.progress()) <= moveShare*float64(expected)
+}
+
+// longWait returns how long all but a fifth of the samples waited for their first tokens.
+func longWait(samples []finishedSample) time.Duration {
+	waits := make([]time.Duration, len(samples))
+	for i, f := range samples {
+		waits[i] = f.first
+	}
+	sort.Slice(waits, func(a, b int) bool { return waits[a] < waits[b] })
+	return waits[len(waits)*4/5]
 }
 
-// medians returns the median rate and duration.
-func medians(samples []finishedSample) (rate float64, duration time.Duration) {
+// medians returns the median rate and decoding time.
+func medians(samples []finishedSample) (rate float64, decoding time.Duration) {
 	rates := make([]float64, len(samples))
-	durations := make([]time.Duration, len(samples))
+	times := make([]time.Duration, len(samples))
 	for i, f := range samples {
 		rates[i] = f.rate()
-		durations[i] = f.took
+		times[i] = f.decoding()
 	}
 	sort.Float64s(rates)
-	sort.Slice(durations, func(a, b int) bool { return durations[a] < durations[b] })
-	return rates[len(rates)/2], durations[len(durations)/2]
+	sort.Slice(times, func(a, b int) bool { return times[a] < times[b] })
+	return rates[len(rates)/2], times[len(times)/2]
 }
