--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -15,6 +15,7 @@
 // Short intervals of the daemons in tests.
 const (
 	testInterval      = 50 * time.Millisecond
+	testDirect        = 400 * time.Millisecond
 	testMemberTimeout = 600 * time.Millisecond
 	testIsolation     = 1500 * time.Millisecond
 )
@@ -82,7 +83,7 @@
 	}, nil)
 	n.pool = peer.NewPool(peer.Config{Connect: testMemberTimeout, Progress: testMemberTimeout}, nil)
 	n.Manager = NewManager(Config{
-		Self: n.self, ReportInterval: testInterval, ListInterval: testInterval, DirectInterval: 2 * testInterval,
+		Self: n.self, ReportInterval: testInterval, ListInterval: testInterval, DirectInterval: testDirect,
 		MemberTimeout: testMemberTimeout, IsolationLimit: testIsolation, Parse: testParse,
 	}, n.client, n.client, n.pool, nil)
 	server := peer.NewServer(nil)
--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -82,18 +82,18 @@
 	for _, n := range lost {
 		n.stop()
 	}
-	before := c.fake.Calls()
-	started := time.Now()
+	eventually(t, "alone", func() bool { return left.collector.running() && left.collector.alone() })
+	time.Sleep(testInterval)
+	before, started := c.fake.Calls(), time.Now()
 	for i := range 5 {
 		version := c.fake.Put("documents/svc", []byte(fmt.Sprint("svc ", i))).Version
 		eventually(t, "in force on the daemon left", func() bool { return left.inForce("svc") == version })
-		time.Sleep(testMemberTimeout / 2)
+		time.Sleep(testDirect)
 	}
 	after := c.fake.Calls()
-	// At most one list and one documents read in half a direct interval, and two of each at once.
-	limit := 4 + 2*int64(time.Since(started)/testInterval)
+	limit := 2 + 2*int64(time.Since(started)/testDirect)
 	if reads := after.Lists + after.Instances - before.Lists - before.Instances; reads > limit {
-		t.Errorf("%d reads of the platform, limit %d", reads, limit)
+		t.Errorf("%d reads of the platform in %v, limit %d", reads, time.Since(started), limit)
 	}
 }
 
--- /dev/null
+++ b/fleet/placement_test.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+func names(n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprint("d", i))
+	}
+	return all
+}
+
+func TestRankChangesOnlyForKeysOfTheLostName(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the others keep their order", prop.ForAll(
+		func(size, count, lost int, key string) bool {
+			all := names(size)
+			gone := all[lost%size]
+			before := rank(all, key, count)
+			after := rank(without(all, gone), key, count)
+			kept := without(before, gone)
+			return len(before) == min(size, count) && slices.Equal(kept, after[:len(kept)])
+		},
+		gen.IntRange(2, 40), gen.IntRange(1, 5), gen.IntRange(0, 1000), gen.AnyString(),
+	))
+	properties.TestingRun(t)
+}
+
+// poolOf returns a manager of a failure domain that sees replicas in three of them.
+func poolOf(id, domain string, replicas int) *Manager {
+	m := NewManager(Config{Self: Member{ID: id, Region: "r", FailureDomain: domain}, Parse: testParse}, nil, nil, nil, nil)
+	list := platform.InstanceSnapshot{Revision: 1}
+	for i := range replicas {
+		list.Instances = append(list.Instances, replicaInstance(fmt.Sprintf("s%03d", i), string("xyz"[i%3])))
+	}
+	m.offerList(list)
+	return m
+}
+
+func TestSubsetOfASmallPoolIsAllOfIt(t *testing.T) {
+	if got := len(poolOf("d1", "x", defaultSubsetSize).Subset("p")); got != defaultSubsetSize {
+		t.Errorf("%d servers, want all %d", got, defaultSubsetSize)
+	}
+}
+
+func TestSubsetOfALargePoolPrefersTheOwnDomainAndCoversThePool(t *testing.T) {
+	const replicas = 60
+	used := map[string]bool{}
+	for i := range 40 {
+		domain := string("xyz"[i%3])
+		m := poolOf(fmt.Sprint("d", i), domain, replicas)
+		subset := m.Subset("p")
+		near := 0
+		for _, replica := range subset {
+			used[replica.ID] = true
+			if replica.FailureDomain == domain {
+				near++
+			}
+		}
+		if len(subset) != defaultSubsetSize || near != replicas/3 {
+			t.Fatalf("%d servers, %d of the own domain; want %d and all %d", len(subset), near, defaultSubsetSize, replicas/3)
+		}
+		if again := poolOf(fmt.Sprint("d", i), domain, replicas).Subset("p"); !slices.Equal(subset, again) {
+			t.Fatal("two views of the same list have different subsets")
+		}
+	}
+	if len(used) != replicas {
+		t.Errorf("40 daemons use %d of %d servers", len(used), replicas)
+	}
+}
+
+func TestSubsetLeavesOutLeavingServersOfALargePool(t *testing.T) {
+	m := poolOf("d1", "x", 60)
+	m.MarkLeaving("s000")
+	for _, replica := range m.Subset("p") {
+		if replica.ID == "s000" {
+			t.Error("a leaving server is in the subset")
+		}
+	}
+}
+
+func TestCollectorsReadTheListInTurns(t *testing.T) {
+	const of = 6
+	var all []*collector
+	for i := range of {
+		m := NewManager(Config{Self: Member{ID: fmt.Sprint("d", i), Region: "r"}, Parse: testParse}, nil, nil, nil, nil)
+		for j := range of {
+			if j != i {
+				m.collector.peers[fmt.Sprint("d", j)] = &peerSummary{heard: time.Now()}
+			}
+		}
+		m.collector.noteListRead(time.Now())
+		all = append(all, m.collector)
+	}
+	start := time.Now()
+	for slot := range 2 * of {
+		due := 0
+		for _, c := range all {
+			if c.listDue(start.Add(time.Duration(slot) * c.manager.config.ListInterval)) {
+				due++
+			}
+		}
+		if due != 1 {
+			t.Errorf("%d collectors read in slot %d, want 1", due, slot)
+		}
+	}
+	all[0].listRead = time.Now().Add(-staleListFactor*all[0].manager.config.ListInterval - time.Second)
+	if !all[0].listDue(start) || !all[0].listDue(start.Add(time.Second)) {
+		t.Error("a collector waits for its turn although nobody reads the list")
+	}
+}
