claims: contract test over real peers and the platform stand-in

Lost answers, refused writes, an outage, a silent platform and a lost keeper, each with copies of one key through two daemons; grants are counted outside of them.

--- a/claims/fakes_test.go
+++ b/claims/fakes_test.go
@@ -208,3 +208,16 @@
 	}
 	s.lose = func(string) bool { return hits() }
 }
+
+// addressed is a view whose members have real addresses.
+type addressed struct {
+	daemonView
+	addresses *sync.Map // by member ID
+}
+
+func (v addressed) Owners(key string, n int) []fleet.Member {
+	owners := v.daemonView.Owners(key, n)
+	address, _ := v.addresses.Load(owners[0].ID)
+	owners[0].PeerAddress = address.(string)
+	return owners
+}
