--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/claims"
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
@@ -127,6 +128,9 @@
 		Fingerprint: c.fingerprint(),
 	})
 	c.claimed = err == nil
+	if c.claimed {
+		m.parts.Recorder.Kept(alarm.AtMostOnce, c.document.Service)
+	}
 	return err
 }
 
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
@@ -19,8 +20,9 @@
 	}
 	now := m.now()
 	m.mu.Lock()
+	maps.DeleteFunc(m.leaving, func(_ string, since time.Time) bool { return now.Sub(since) > leavingMemory })
 	first, known := m.leaving[replica]
-	if !known || now.Sub(first) > leavingMemory {
+	if !known {
 		m.leaving[replica] = now
 		first = now
 	}
--- a/dispatch/manager.go
+++ b/dispatch/manager.go
@@ -48,6 +48,7 @@
 // ServeHTTP serves /v1/services/{service}/*: the path below the service's root goes
 // to a backend server. See docs/API.md for the request headers.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := m.now()
 	m.count(func(c *Counters) { c.Requests++ })
 	c, err := m.accept(r)
 	if err != nil {
@@ -55,9 +56,10 @@
 		return
 	}
 	w.Header().Set(headerRequestID, c.requestID)
-	ctx, cancel := context.WithTimeout(r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), c.deadline-m.now().Sub(arrived))
 	defer cancel()
 	if err := m.serve(ctx, w, c); err != nil {
+		m.noteNotRun(c, err)
 		m.refuse(w, c.requestID, err)
 	}
 }
@@ -110,6 +112,14 @@
 	return m.runAttempts(ctx, w, c, exchange)
 }
 
+// noteNotRun records a refusal whose outcome was decided where the request could
+// still not have reached a server.
+func (m *Manager) noteNotRun(c *call, err error) {
+	if fault.OutcomeOf(err) == fault.NotRun {
+		m.parts.Recorder.Kept(alarm.NotRunTruth, c.document.Service)
+	}
+}
+
 // refuse ends the request with an error response.
 func (m *Manager) refuse(w http.ResponseWriter, requestID string, err error) {
 	outcome := fault.OutcomeOf(err)
