Move samples away from replicas that turn out slow

Change: a lease tells that its replica was found slow; a sample with much still to come ends there and is generated elsewhere by its group. A probe first shows the slowness again.

--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -25,6 +25,7 @@
 	manager  *Manager
 	servers  []fleet.Replica
 	isolated bool
+	slow     bool // all replicas
 	admit    func() error
 	claims   []claims.Claim
 	claim    func(claims.Claim) error
@@ -90,7 +91,7 @@
 				continue next
 			}
 		}
-		return routing.Lease{Replica: server, Done: w.ended}, nil
+		return routing.Lease{Replica: server, Done: w.ended, Slow: func() bool { return w.slow }}, nil
 	}
 	return routing.Lease{}, fault.New(fault.Unavailable, "no server", "retry", fault.WithOutcome(fault.NotRun))
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -14,6 +14,10 @@
 	"github.com/hornbeamtide/hornbeamtide/routing"
 )
 
+// moveShare is the share of a sample's longest length up to which it is moved away from
+// a slow replica.
+const moveShare = 0.75
+
 // confirmTimeout bounds the status call after a sample.
 const confirmTimeout = 3 * time.Second
 
@@ -86,7 +90,7 @@
 	}
 	reader := newReader(stream, r.RequestID, lease, m.now)
 	defer reader.close()
-	text, err := collect(ctx, reader, r, lease.Replica.ID)
+	text, err := collect(ctx, reader, r, lease)
 	if err == nil {
 		err = confirmWhole(ctx, engine, lease, reader.segments)
 	}
@@ -109,6 +113,12 @@
 	}
 }
 
+// better reports whether the sample is sooner whole on another replica: this one is
+// slow and much of the sample may still be to come.
+func better(lease routing.Lease, tokens, maxTokens int) bool {
+	return lease.Slow != nil && float64(tokens) < moveShare*float64(maxTokens) && lease.Slow()
+}
+
 // confirmWhole voids a sample whose engine does not report one whole version, at
 // least the sample's last one, or was seen after a partial swap meanwhile: such an
 // engine may go on naming its old version.
@@ -131,7 +141,7 @@
 }
 
 // collect reads the whole completion. A chunk without a weight version voids it.
-func collect(ctx context.Context, reader *reader, r SampleRequest, replica string) (string, error) {
+func collect(ctx context.Context, reader *reader, r SampleRequest, lease routing.Lease) (string, error) {
 	var text strings.Builder
 	for {
 		segments := len(reader.segments)
@@ -150,7 +160,11 @@
 				return "", err
 			}
 		}
-		r.progress(replica, reader.tokens)
+		r.progress(lease.Replica.ID, reader.tokens)
+		if !chunk.End && better(lease, reader.tokens, r.MaxTokens) {
+			return "", fault.New(fault.Overloaded, lease.Replica.ID+" is several times slower than its pool",
+				"generate the sample elsewhere", fault.WithOutcome(fault.Unknown))
+		}
 		text.WriteString(chunk.Text)
 	}
 }
--- a/dispatch/manager_test.go
+++ b/dispatch/manager_test.go
@@ -318,6 +318,22 @@
 	}
 }
 
+func TestSampleIsMovedAwayFromASlowReplica(t *testing.T) {
+	for _, row := range []struct {
+		maxTokens int
+		moved     bool
+	}{{100, true}, {2, false}} { // the first chunk has two
+		w := newWorld(t, "e1")
+		w.slow = true
+		stream := wholeStream("s1")
+		w.engine = func(string, backend.GenerateRequest) (backend.Stream, error) { return stream, nil }
+		_, err := w.manager.Generate(t.Context(), SampleRequest{Service: "draftpool", RequestID: "s1", MaxTokens: row.maxTokens})
+		if fault.Is(err, fault.Overloaded) != row.moved || !stream.closed {
+			t.Errorf("max_tokens %d: %v, closed %v", row.maxTokens, err, stream.closed)
+		}
+	}
+}
+
 func TestRetriesStayAShareOfTheTraffic(t *testing.T) {
 	property := func(requests int) bool {
 		w := newWorld(t, "s1", "s2", "s3")
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -45,6 +45,9 @@
 	Done    func(err error, duration time.Duration)
 	// Progress reports that so many more tokens took the given time.
 	Progress func(tokens int, elapsed time.Duration)
+	// Slow tells whether the replica turned out several times slower than its pool.
+	// For a probe it says so only after the probe has shown it again.
+	Slow func() bool
 	// Partial tells whether the server was seen after a partial weight swap since the
 	// choice.
 	Partial func() bool
--- a/routing/store.go
+++ b/routing/store.go
@@ -191,6 +191,10 @@
 func (s *Store) lease(rep *replica, started time.Time, trial bool) Lease {
 	var once sync.Once
 	partial := rep.partial
+	proof := rep.latency.token.count
+	if rep.state.Slow {
+		proof += minObservations
+	}
 	return Lease{
 		Replica: rep.state.Replica,
 		Done: func(err error, duration time.Duration) {
@@ -201,6 +205,11 @@
 			rep.observeTokens(tokens, elapsed)
 			s.mu.Unlock()
 		},
+		Slow: func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return rep.state.Slow && rep.latency.token.count >= proof
+		},
 		Partial: func() bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/routing/store_test.go
+++ b/routing/store_test.go
@@ -266,3 +266,28 @@
 		lease.Done(nil, time.Second)
 	}
 }
+
+func TestLeaseTellsThatItsReplicaIsSlow(t *testing.T) {
+	w := newWorld("", 2)
+	paced := func(lease Lease, each time.Duration) {
+		for range minObservations {
+			lease.Progress(8, each)
+		}
+		w.advance(refreshInterval)
+	}
+	fast := w.pick(t, Request{Exclude: []string{"r001"}})
+	slow := w.pick(t, Request{Exclude: []string{"r000"}})
+	paced(fast, 8*time.Millisecond)
+	paced(slow, 80*time.Millisecond)
+	probe := w.pick(t, Request{Exclude: []string{"r000"}}) // compares latencies
+	if fast.Slow() || !slow.Slow() {
+		t.Errorf("fast %v, slow %v", fast.Slow(), slow.Slow())
+	}
+	if probe.Slow() {
+		t.Error("a probe is given up before it has shown anything")
+	}
+	paced(probe, 80*time.Millisecond)
+	if !probe.Slow() {
+		t.Error("a probe that showed the replica slow goes on")
+	}
+}
