standin slopes: idle windows only, load polls as a regressor, what slower polls give

Cause: the first windows of a fleet still held the traffic of its start, which hid the collectors' lines (R² 0.35 for control bytes); changes were read from one daemon after another, which measured the reader (0.5 ms a daemon).

--- a/standin/slopes/measure.go
+++ b/standin/slopes/measure.go
@@ -30,8 +30,7 @@
 // Measured is what one layout gave.
 type Measured struct {
 	Layout
-	idle []member // with documents, one a daemon
-	bare []member // without documents
+	idle []member // one a daemon
 
 	PlatformReads  float64   `json:"platform_reads_s"`  // idle, all daemons
 	PlatformWrites float64   `json:"platform_writes_s"` //
@@ -72,12 +71,6 @@
 		return m, err
 	}
 	defer f.close()
-	if err := pause(ctx, settleTime); err != nil {
-		return m, err
-	}
-	if m.bare, err = f.idleRates(ctx, &Measured{}); err != nil {
-		return m, err
-	}
 	if err := f.applyDocuments(ctx, options.Examples); err != nil {
 		return m, err
 	}
--- a/standin/slopes/page.go
+++ b/standin/slopes/page.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strings"
 )
 
@@ -12,8 +13,8 @@
 	p.intro()
 	p.fleets(r)
 	p.slopes(r)
-	p.roles(target{r})
-	p.limits(target{r})
+	p.roles(target{r, 1})
+	p.limits(target{r, 1})
 	p.notMeasured()
 	_, err := io.WriteString(w, p.String())
 	return err
@@ -58,11 +59,11 @@
 
 func (p *page) fleets(r Results) {
 	p.line("## Measured fleets\n\nMeans of the daemons while nobody works; documents of one model and one plain service in force.\n")
-	p.head("daemons", "domains", "replicas", "member: core %", "KB/s", "MB", "collector: members", "core %", "KB/s", "MB",
+	p.head("daemons", "domains", "replicas", "poll", "member: core %", "KB/s", "MB", "collector: members", "core %", "KB/s", "MB",
 		"platform reads/s", "writes/s", "watches", "in force, slowest s", "weights wave s")
 	for _, m := range r.Layouts {
 		members, collectors := means(m.idle, false), means(m.idle, true)
-		p.row(num(float64(m.Daemons)), num(float64(m.Domains)), num(float64(m.Replicas)),
+		p.row(num(float64(m.Daemons)), num(float64(m.Domains)), num(float64(m.Replicas)), m.poll(),
 			num(100*members.CPU), num(members.Bytes/1e3), num(members.Memory/1e6),
 			num(collectors.Attendees), num(100*collectors.CPU), num(collectors.Bytes/1e3), num(collectors.Memory/1e6),
 			num(m.PlatformReads), num(m.PlatformWrites), num(m.Watches), num(largest(m.InForce)), num(largestSpread(m.Waves)))
@@ -74,11 +75,10 @@
 	p.line("## Slopes\n")
 	p.head("quantity", "line", "R²", "observations")
 	add := func(name, unit string, scale float64, f fit, x ...string) {
-		terms := []string{num(f.Intercept * scale)}
-		for i, slope := range f.Slopes {
-			terms = append(terms, num(slope*scale)+"·"+x[i])
+		if unit != "" {
+			name += " (" + unit + ")"
 		}
-		p.row(name+" ("+unit+")", strings.Join(terms, " + "), num(f.R2), num(float64(f.Observations)))
+		p.row(name, f.formula(scale, x), num(f.R2), num(float64(f.Observations)))
 	}
 	add("member, processor", "% of a core", 100, r.MemberCPU, "polls/s", "daemons")
 	add("member, control", "B/s", 1, r.MemberBytes, "polls/s", "daemons")
@@ -113,6 +113,19 @@
 		num(r.PollBytes), num(r.PollRate), num(1e3*r.ChangeMemberCPU), num(r.ChangeMemberBytes), num(r.ChangeReads), num(r.ChangeWrites))
 }
 
+// formula writes the line with its regressors' names.
+func (f fit) formula(scale float64, x []string) string {
+	text := num(f.Intercept * scale)
+	for i, slope := range f.Slopes {
+		sign := " + "
+		if slope < 0 {
+			sign = " − "
+		}
+		text += sign + num(math.Abs(slope)*scale) + "·" + x[i]
+	}
+	return text
+}
+
 func (p *page) roles(t target) {
 	p.line("## Roles at the target size\n\nA row is what the role adds to one daemon.\n")
 	p.head("role", "how many", "state", "messages/s", "core %", "control KB/s", "MB", "platform", "mechanism that carries it")
@@ -126,6 +139,14 @@
 	p.line("")
 }
 
+// poll names the layout's poll interval.
+func (l Layout) poll() string {
+	if l.Poll == 0 {
+		return "default"
+	}
+	return l.Poll.String()
+}
+
 // num formats a figure with three significant digits.
 func num(x float64) string {
 	switch {
--- a/standin/slopes/rows.go
+++ b/standin/slopes/rows.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// slowPollFactor is by how much less often daemons poll in the design change.
+const slowPollFactor = 4.0
+
 // limitRow is one limit on the page.
 type limitRow struct {
 	name          string
@@ -87,15 +90,17 @@
 
 func (t target) limitRows() []limitRow {
 	busiest, plain := t.control(), t.plainMember()
+	slower := target{t.r, 1 / slowPollFactor}
+	slowPolls := fmt.Sprintf("poll load every %.0f default intervals (`poll_interval`), since response headers carry it for the replicas in use: the same sum gives ", slowPollFactor)
 	return []limitRow{
 		{
 			"processor of a member", 100 * plain.cpu, 100 * limitCPU, "% of a core", "member + polls + runner",
-			"poll less often and only pools in use; reports to the collector less often while nothing changes",
+			slowPolls + num(100*slower.plainMember().cpu) + " %",
 		},
 		{
 			"processor of the busiest daemon", 100 * busiest.cpu, 100 * limitCPU, "% of a core",
 			"member + polls + collector + step owner + runner + claim shard + pool",
-			"rank daemons with fewer roles first for a new role; three collectors a domain",
+			slowPolls + num(100*slower.control().cpu) + " %; beyond that, place a role on a daemon that has none",
 		},
 		{
 			"memory of the busiest daemon", busiest.memory / 1e6, limitMemory / 1e6, "MB", "the same sum",
@@ -103,15 +108,16 @@
 		},
 		{
 			"control of a member", plain.bytes / 1e3, limitBytes / 1e3, "KB/s", "member + polls + runner",
-			"load from response headers for replicas in use, a poll every few seconds for the others, compact status answers",
+			slowPolls + num(slower.plainMember().bytes/1e3) + " KB/s",
 		},
 		{
 			"control of the busiest daemon", busiest.bytes / 1e3, limitBytes / 1e3, "KB/s", "the sum of all roles",
-			"as above, and three collectors a domain",
+			slowPolls + num(slower.control().bytes/1e3) + " KB/s",
 		},
 		{
 			"platform writes", t.platformWrites(), limitWrites, "1/s",
-			fmt.Sprintf("claims %s + leases %s + changes", num(t.claimWrites()), num(t.leaseWrites())),
+			fmt.Sprintf("claims %s + leases %s + changes; the limit is reached when %s %% of the requests are claimed",
+				num(t.claimWrites()), num(t.leaseWrites()), num(100*t.claimShareLimit())),
 			"fewer shards or a longer batch interval under load, so that a write carries more claims",
 		},
 		{
@@ -119,10 +125,15 @@
 			"one collector a domain reads for both",
 		},
 		{
-			"weights on all replicas of a pool", t.r.WaveSpread.at(t.poolReplicas()), limitWave, "s",
+			"weights on all replicas of a pool, from the first activation", t.r.WaveSpread.at(t.poolReplicas()), limitWave, "s",
 			fmt.Sprintf("first to last activation at %s replicas; staged before", num(t.poolReplicas())),
 			"the keeper hands the wave to more daemons",
 		},
+		{
+			"weights on all replicas of a pool, from publication", t.r.WaveTotal.at(t.poolReplicas()), limitWave, "s",
+			"the same with staging at the stand-in store (20 ms a load, 8 at a time) and the keeper's poll of the store",
+			"stage ahead of the publication, so that only the wave counts",
+		},
 		{
 			"a change in force everywhere", t.r.InForce.at(targetDaemons), limitInForce, "s",
 			fmt.Sprintf("line at %s daemons; the slowest single change measured took %s s", num(targetDaemons), num(t.r.InForceMax)),
--- a/standin/slopes/slopes.go
+++ b/standin/slopes/slopes.go
@@ -31,6 +31,7 @@
 	{Daemons: 30, Domains: 6, Replicas: 4},
 	{Daemons: 60, Domains: 2, Replicas: 12, Work: true},
 	{Daemons: 60, Domains: 1, Replicas: 24},
+	{Daemons: 60, Domains: 3, Replicas: 24, Poll: 4 * time.Second},
 	{Daemons: 120, Domains: 6, Replicas: 4},
 	{Daemons: 120, Domains: 2, Replicas: 24},
 }
--- a/standin/slopes/target.go
+++ b/standin/slopes/target.go
@@ -24,14 +24,13 @@
 
 // The limits.
 const (
-	limitCPU     = 0.024     // of a core, a daemon
-	limitMemory  = 64e6      // bytes, a daemon
-	limitBytes   = 24e3      // control bytes a second, a daemon
-	limitWrites  = 300.0     // a second, "several hundred"
-	limitReads   = 2000.0    // a second
-	limitWave    = 5.0       // seconds, weights on all replicas
-	limitInForce = 10.0      // seconds, a change on all daemons
-	changeBurst  = 3200 / 60 // changes a minute when a day's changes come within an hour
+	limitCPU     = 0.024  // of a core, a daemon
+	limitMemory  = 64e6   // bytes, a daemon
+	limitBytes   = 24e3   // control bytes a second, a daemon
+	limitWrites  = 300.0  // a second, "several hundred"
+	limitReads   = 2000.0 // a second
+	limitWave    = 5.0    // seconds, weights on all replicas
+	limitInForce = 10.0   // seconds, a change on all daemons
 )
 
 // load is what a role costs one daemon.
@@ -48,7 +47,8 @@
 
 // target works out the roles at the target size.
 type target struct {
-	r Results
+	r          Results
+	pollFactor float64 // on the measured rate of load polls
 }
 
 func (target) collectors() float64 { return collectorsADomain * targetDomains }
@@ -63,16 +63,17 @@
 }
 
 // pollRate is a daemon's load polls a second.
-func (t target) pollRate() float64 { return t.polled() * t.r.PollRate }
+func (t target) pollRate() float64 { return t.polled() * t.r.PollRate * t.pollFactor }
 
 func (target) poolReplicas() float64 { return targetReplicas / targetPools }
 
 // member is a daemon that polls, without its polls' bytes.
 func (t target) member() load {
 	polls := t.pollRate()
+	changes := targetChanges / daySeconds
 	return load{
-		cpu:      t.r.MemberCPU.at(polls, targetDaemons),
-		bytes:    t.r.MemberBytes.at(polls, targetDaemons),
+		cpu:      t.r.MemberCPU.at(polls, targetDaemons) + changes*t.r.ChangeMemberCPU,
+		bytes:    t.r.MemberBytes.at(polls, targetDaemons) + changes*t.r.ChangeMemberBytes,
 		messages: t.r.MemberMessages.at(polls, targetDaemons),
 		memory:   t.r.MemberMemory.at(polls, targetDaemons),
 	}
@@ -175,3 +176,9 @@
 func (t target) platformWrites() float64 {
 	return t.leaseWrites() + t.claimWrites() + targetChanges/daySeconds*t.r.ChangeWrites
 }
+
+// claimShareLimit is the share of keyed non-idempotent requests at which the platform's
+// writes reach their limit.
+func (t target) claimShareLimit() float64 {
+	return (limitWrites - t.leaseWrites()) / t.r.ClaimWrites.Slopes[0] / targetRequests
+}
--- a/standin/slopes/work.go
+++ b/standin/slopes/work.go
@@ -9,8 +9,11 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hornbeamtide/hornbeamtide/rollout"
 	"github.com/hornbeamtide/hornbeamtide/standin/caller"
+	"github.com/hornbeamtide/hornbeamtide/standin/cluster"
 	"github.com/hornbeamtide/hornbeamtide/standin/trainer"
 )
 
@@ -95,27 +98,24 @@
 // that took.
 func (f *fleet) waitInForce(ctx context.Context, version int64) (time.Duration, error) {
 	started := time.Now()
-	behind := f.daemons
-	for len(behind) > 0 {
-		next := behind[:0:0]
-		for _, daemon := range behind {
-			infos, err := f.documents(ctx, daemon)
-			if err != nil {
-				return 0, err
-			}
-			if !hasVersion(infos, version) {
-				next = append(next, daemon)
-			}
-		}
-		behind = next
-		if time.Since(started) > inForceLimit {
-			return 0, fmt.Errorf("version %d is not in force on %d daemons after %s", version, len(behind), inForceLimit)
-		}
-		if len(behind) > 0 {
-			time.Sleep(2 * time.Millisecond)
+	group, ctx := errgroup.WithContext(ctx)
+	for _, daemon := range f.daemons {
+		group.Go(func() error { return f.waitVersion(ctx, daemon, version) })
+	}
+	err := group.Wait()
+	return time.Since(started), err
+}
+
+func (f *fleet) waitVersion(ctx context.Context, daemon *cluster.Process, version int64) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
+	defer cancel()
+	for {
+		infos, err := f.documents(ctx, daemon)
+		if err != nil || hasVersion(infos, version) {
+			return err
 		}
+		time.Sleep(2 * time.Millisecond)
 	}
-	return time.Since(started), nil
 }
 
 const inForceLimit = 15 * time.Second
