daemon: bounded collection of alarms, refusals counted, apply polls without it

Cause: apply asked all members for their alarms ten times a second while it waited; status could wait longer than its client when many members hang. Change: /v1/status?alarms=own spares the calls and apply uses it; all calls together end after 3 s; the process metrics count refused requests; dump shows package backend.

--- a/cmd/hornbeamtide/apply.go
+++ b/cmd/hornbeamtide/apply.go
@@ -127,7 +127,7 @@
 func (c *applyCommand) waitInForce(service string, version int64) (inForce, behind []string) {
 	for deadline := time.Now().Add(c.Wait); ; time.Sleep(statusInterval) {
 		var status daemon.Status
-		if err := c.getJSON("/v1/status", &status); err == nil {
+		if err := c.getJSON("/v1/status?alarms=own", &status); err == nil {
 			inForce, behind = places(status.Documents, service, version)
 		}
 		if len(inForce) > 0 && len(behind) == 0 || time.Now().After(deadline) {
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/admission"
 	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/backend"
 	"github.com/hornbeamtide/hornbeamtide/claims"
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
@@ -44,6 +45,8 @@
 		return m.Dump()
 	case *peer.Pool:
 		return m.Dump()
+	case *backend.Client:
+		return m.Dump()
 	case *fleet.Manager:
 		return m.Dump()
 	case *routing.Store:
@@ -69,6 +72,8 @@
 		return m.Counters()
 	case *peer.Server:
 		return m.Counters()
+	case *backend.Client:
+		return m.Counters()
 	case *fleet.Manager:
 		return m.Counters()
 	case *routing.Store:
@@ -117,6 +122,7 @@
 	HeapBytes     uint64 `json:"heap_bytes"`
 	State         State  `json:"state"`
 	InProgress    int    `json:"in_progress"`
+	Refused       int64  `json:"refused"` // requests, while draining or isolated
 }
 
 // metrics serves the daemon's own expvar map, since several daemons may share a process.
@@ -144,5 +150,6 @@
 		HeapBytes:     memory.HeapAlloc,
 		State:         state,
 		InProgress:    progress,
+		Refused:       d.gate.refusals(),
 	}
 }
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -92,6 +92,13 @@
 	return g.state, g.progress
 }
 
+// refusals returns how many requests were refused.
+func (g *gate) refusals() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refused
+}
+
 func (g *gate) draining() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/regional.go
+++ b/daemon/regional.go
@@ -16,6 +16,7 @@
 // Bounds of collecting the alarms of a region.
 const (
 	memberCallTimeout = time.Second
+	memberCallsLimit  = 3 * time.Second // all calls together
 	memberCallsAtOnce = 16
 	maxMemberAnswer   = 1 << 20 // bytes
 )
@@ -35,6 +36,8 @@
 // regionalAlarms asks every member for its alarms.
 func (d *Daemon) regionalAlarms(ctx context.Context) RegionalAlarms {
 	all := RegionalAlarms{Alarms: d.ownAlarms(), Unanswered: []string{}}
+	ctx, cancel := context.WithTimeout(ctx, memberCallsLimit)
+	defer cancel()
 	client := &http.Client{Timeout: memberCallTimeout}
 	defer client.CloseIdleConnections()
 	var (
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -33,17 +33,24 @@
 	Since string `json:"isolated_since,omitempty"`
 }
 
+// ownAlarmsOnly reports whether the query ?alarms=own spares the calls to all members.
+func ownAlarmsOnly(r *http.Request) bool { return r.URL.Query().Get("alarms") == "own" }
+
 // status collects the Status. An error of Documents leaves them empty.
 func (d *Daemon) status(r *http.Request) (Status, error) {
 	state, progress := d.gate.current()
 	documents, err := d.modules.Admin.Status(r.Context())
+	alarms := RegionalAlarms{Alarms: d.ownAlarms(), Unanswered: []string{}}
+	if !ownAlarmsOnly(r) {
+		alarms = d.regionalAlarms(r.Context())
+	}
 	return Status{
 		Daemon:         d.settings.Daemon.ID,
 		State:          state,
 		InProgress:     progress,
 		Documents:      documents,
 		Members:        d.members(),
-		RegionalAlarms: d.regionalAlarms(r.Context()),
+		RegionalAlarms: alarms,
 	}, err
 }
 
