daemon: a draining daemon refuses trainers too: tested

Cause: with the gate left open at a stop all tests passed, since admission refuses too. Change: the stop test sends a pull and a request while the daemon drains. Taken out on a scratch change (gate open): the pull is answered 'invalid', not refused. Conclusion: the gate is proved on its own.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -137,6 +137,13 @@
 	s.fake.SetFaults(fakeplatform.Faults{Hang: true})
 	begin := time.Now()
 	d.stop()
+	waitUntil(t, "the daemon drains", d.gate.draining)
+	for _, path := range []string{"/v1/trainers/captions/pull", "/v1/services/ledgerdesk/records"} {
+		refused := d.call(http.MethodPost, path, "{}").fault(t)
+		if refused.Kind != fault.Draining || refused.Outcome != fault.NotRun {
+			t.Errorf("%s: %+v", path, refused)
+		}
+	}
 	if err := <-d.done; err != nil {
 		t.Errorf("the stop ended with %v", err)
 	}
