daemon: servers.drain_time of the documents holds at a planned stop

Cause: the key servers.drain_time had no effect. Change: at a planned stop requests in progress may take as long as the settings or any document in force allow, whichever is longer; hand-over of roles keeps to the settings. get escapes the service's name. Conclusion: a team's drain time is kept.

--- a/alarm/remedy.go
+++ b/alarm/remedy.go
@@ -27,7 +27,7 @@
 	case LeavingServers:
 		return "look at the named server in the dump: it still gets work after servers.leave_bound"
 	case PlannedStop:
-		return "raise daemon.drain_time above the longest deadline of the services"
+		return "raise servers.drain_time of the service or daemon.drain_time above the longest deadline"
 	case InForce:
 		return "look at the daemons that status lists as behind, and restart those that do not catch up"
 	case Unanswered:
--- a/cmd/hornbeamtide/documents.go
+++ b/cmd/hornbeamtide/documents.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"text/tabwriter"
 
 	"github.com/hornbeamtide/hornbeamtide/daemon"
@@ -21,7 +22,7 @@
 	if c.Args.Service == "" {
 		return c.list()
 	}
-	got, err := c.call(http.MethodGet, "/v1/documents/"+c.Args.Service, "", nil)
+	got, err := c.call(http.MethodGet, "/v1/documents/"+url.PathEscape(c.Args.Service), "", nil)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,7 +143,7 @@
 
 // Run serves until ctx ends, then drains: the health check fails, new work is
 // refused as not run, roles are handed over and requests in progress may end within
-// daemon.drain_time. The error is nil when no request was cut and no module failed.
+// daemon.drain_time or the longest drain_time of a document. The error is nil when no request was cut and no module failed.
 func (d *Daemon) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -172,7 +172,7 @@
 		return failure
 	}
 	if cut > 0 {
-		return fault.New(fault.Deadline, fmt.Sprintf("%d requests were cut at the end of the drain time", cut), "raise daemon.drain_time")
+		return fault.New(fault.Deadline, fmt.Sprintf("%d requests were cut at the end of the drain time", cut), "raise servers.drain_time of the service or daemon.drain_time")
 	}
 	return nil
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -17,6 +17,7 @@
 	d.log.Log(event.DaemonDraining, event.F("drain_time", d.settings.Daemon.DrainTime.String()))
 	pause(ctx, d.settings.Daemon.DrainNotice)
 	d.gate.set(Draining)
+	draining := time.Now()
 
 	limited, cancel := context.WithTimeout(ctx, d.settings.Daemon.DrainTime)
 	defer cancel()
@@ -30,18 +31,37 @@
 		}
 	}
 	handover.Wait()
+	return d.awaitRequests(ctx, draining)
+}
+
+// awaitRequests waits for the requests in progress for as long as the settings and
+// the documents in force allow since the drain began.
+func (d *Daemon) awaitRequests(ctx context.Context, since time.Time) int {
+	limit := d.drainTime()
+	limited, cancel := context.WithDeadline(ctx, since.Add(limit))
+	defer cancel()
 	cut := d.gate.wait(limited)
 	if cut > 0 {
-		d.recordCut(cut)
+		d.recordCut(cut, limit)
 	}
 	return cut
 }
 
-func (d *Daemon) recordCut(cut int) {
+// drainTime returns the longest time that requests in progress may take at a stop:
+// the settings' or that of a service.
+func (d *Daemon) drainTime() time.Duration {
+	limit := d.settings.Daemon.DrainTime
+	for _, held := range d.modules.Documents.All() {
+		limit = max(limit, held.Document.Servers.DrainTime)
+	}
+	return limit
+}
+
+func (d *Daemon) recordCut(cut int, limit time.Duration) {
 	d.log.Log(event.DaemonDrainCut, event.F("requests", cut))
 	d.modules.Alarms.Broken(alarm.PlannedStop, alarm.Evidence{
 		Subject: d.settings.Daemon.ID,
-		Detail:  fmt.Sprintf("%d requests in progress were cut after %v", cut, d.settings.Daemon.DrainTime),
+		Detail:  fmt.Sprintf("%d requests in progress were cut after %v", cut, limit),
 	})
 }
 
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -162,13 +162,17 @@
 	settings := s.settings(1)
 	settings.Daemon.DrainTime = 100 * time.Millisecond
 	d := s.start(settings)
-	s.apply(d, "ledgerdesk")
+	s.applyText(d, "ledgerdesk", deskDocument+"[servers]\ndrain_time = 1s\n")
 	answers := make(chan answer, 1)
 	go func() { answers <- d.call(http.MethodPost, "/v1/services/ledgerdesk/records", "{}") }()
 	waitUntil(t, "the request is in progress", func() bool { return d.inProgress() == 1 })
+	begin := time.Now()
 	d.stop()
 	err := <-d.done
 	d.done <- nil
+	if took := time.Since(begin); took < time.Second {
+		t.Errorf("cut after %v, the document allows 1s", took)
+	}
 	if err == nil || !strings.Contains(err.Error(), "1 requests were cut") || fault.RemedyOf(err) == "" {
 		t.Errorf("error %v", err)
 	}
@@ -183,6 +187,14 @@
 	}
 }
 
+const deskDocument = `[service]
+name = ledgerdesk
+team = karachi
+region = pk-south
+kind = plain
+pool = ledgerdesk
+`
+
 func (d *testDaemon) inProgress() int {
 	_, progress := d.gate.current()
 	return progress
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -174,7 +174,12 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	answer := d.call(http.MethodPut, "/v1/documents/"+service, string(source), "If-Match", "0")
+	return s.applyText(d, service, string(source))
+}
+
+func (s *testSystem) applyText(d *testDaemon, service, text string) int64 {
+	s.t.Helper()
+	answer := d.call(http.MethodPut, "/v1/documents/"+service, text, "If-Match", "0")
 	if answer.status != http.StatusOK {
 		s.t.Fatalf("apply: %d %s", answer.status, answer.body)
 	}
--- a/document/schema.go
+++ b/document/schema.go
@@ -85,7 +85,7 @@
 		Text: "How backend servers come and go and what they take.",
 		Keys: []inifile.KeySchema[Document]{
 			inifile.Duration("leave_bound", 5*time.Second, 0, 5*time.Minute, "A leaving server gets no new work after this.", func(d *Document) *time.Duration { return &d.Servers.LeaveBound }),
-			inifile.Duration("drain_time", 30*time.Second, 0, maxDuration, "Requests in progress may take this long when a server leaves.", func(d *Document) *time.Duration { return &d.Servers.DrainTime }),
+			inifile.Duration("drain_time", 30*time.Second, 0, maxDuration, "Requests in progress may take this long at a planned stop of a daemon, if that is longer than its settings say.", func(d *Document) *time.Duration { return &d.Servers.DrainTime }),
 			inifile.Int("max_in_flight", "requests", 32, 1, 10000, "Requests in progress that one daemon sends to one server.", func(d *Document) *int { return &d.Servers.MaxInFlight }),
 			inifile.Bool("checks_fencing", false, "The servers refuse an order with an old fencing number.", func(d *Document) *bool { return &d.Servers.ChecksFencing }),
 		},
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -7,7 +7,7 @@
 	DaemonStarted      = define(100, logrus.InfoLevel, "daemon started", "The daemon listens and takes work.")
 	DaemonStopped      = define(101, logrus.InfoLevel, "daemon stopped", "All requests in progress ended and the daemon exits.")
 	DaemonDraining     = define(102, logrus.InfoLevel, "daemon draining", "A stop was asked for: the health check fails, new work is refused as not run, requests in progress may end.")
-	DaemonDrainCut     = define(103, logrus.WarnLevel, "requests cut at the end of the drain time", "Requests in progress took longer than daemon.drain_time. Raise it, or lower the deadlines of the services.")
+	DaemonDrainCut     = define(103, logrus.WarnLevel, "requests cut at the end of the drain time", "Requests in progress took longer than daemon.drain_time and servers.drain_time of the documents. Raise one of them, or lower the deadlines of the services.")
 	DaemonIsolated     = define(104, logrus.ErrorLevel, "daemon isolated", "Neither the platform nor any peer answers. New work is refused as not run and the health check fails. Check the network of this instance.")
 	DaemonReconnected  = define(105, logrus.InfoLevel, "daemon no longer isolated", "The platform or a peer answers again; work is taken.")
 	DaemonModuleFailed = define(106, logrus.ErrorLevel, "module ended with an error", "A module of the daemon stopped; the daemon drains and exits with 1. Report the error.")
