daemon: a swap that fails partway raises no alarm: tested

Cause: the silent case lacked weight swaps. Change: the step with crash, outage and planned stop also has a published version whose activation fails on an engine. Conclusion: silent.

--- a/daemon/alarms_test.go
+++ b/daemon/alarms_test.go
@@ -72,6 +72,8 @@
 	applyDraftpool(t, s, "10m")
 	step(t, s, func() {
 		s.Engines[0].Crash()
+		s.Engines[1].SetFaults(fakeengine.Faults{FailActivate: 1})
+		s.Weights.Publish("draftpool", 2)
 		s.Platform.SetFaults(fakeplatform.Faults{Outage: true})
 		go func() { _ = s.Daemons[2].Stop() }()
 	})
