--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -16,7 +16,7 @@
 
 // freshShare is the part of a sample's expected tokens up to which the staleness
 // preference restarts it on a newer version.
-const freshShare = 1.0 / 3
+const freshShare = 0.6
 
 // attempt is one request for a sample on one replica.
 type attempt struct {
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -365,7 +365,7 @@
 	if hook != nil {
 		return hook(ctx, call, r)
 	}
-	return g.whole(r, "e0", backend.Segment{Version: g.version(), Tokens: 8}), nil
+	return g.whole(r, "e0", segmentOf(g.version())), nil
 }
 
 // whole returns a whole completion.
@@ -416,6 +416,21 @@
 	r.broken = append(r.broken, e)
 }
 
+func (r *countingRecorder) keptOf(p alarm.Promise) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kept[p]
+}
+
+func (r *countingRecorder) brokenOnes() []alarm.Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]alarm.Evidence(nil), r.broken...)
+}
+
+// segmentOf returns the one segment of a sample of a version.
+func segmentOf(version int64) backend.Segment { return backend.Segment{Version: version, Tokens: 8} }
+
 // memoryStore is an object store with faults.
 type memoryStore struct {
 	mu         sync.Mutex
--- a/rollout/hedge_test.go
+++ b/rollout/hedge_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/backend"
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
 )
 
@@ -25,7 +24,7 @@
 }
 
 func (s *stragglers) generate(ctx context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
-	completion := s.c.gen.whole(r, "fast", backend.Segment{Version: 1, Tokens: 8})
+	completion := s.c.gen.whole(r, "fast", segmentOf(1))
 	if !strings.Contains(r.RequestID, "/0-") {
 		return completion, nil
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -1,6 +1,13 @@
 package rollout
 
-import "testing"
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/alarm"
+	"github.com/hornbeamtide/hornbeamtide/dispatch"
+)
 
 func TestStepIsDeliveredOnceThroughAnyDaemon(t *testing.T) {
 	c := newCluster(t, 3, nil)
@@ -12,4 +19,54 @@
 	trainer := newTrainer(c, step.Token)
 	trainer.pullAll(c.daemons[2])
 	trainer.check(16)
+	for _, promise := range []alarm.Promise{alarm.VersionTags, alarm.StalenessBound, alarm.ExactlyOnce} {
+		if kept := c.recorder.keptOf(promise); kept != 16 {
+			t.Errorf("%s was recorded as kept %d times", promise, kept)
+		}
+	}
+	if c.recorder.keptOf(alarm.TrainerIdle) == 0 || len(c.recorder.brokenOnes()) > 0 {
+		t.Errorf("broken: %+v", c.recorder.brokenOnes())
+	}
+}
+
+func TestLateStepBreaksThePromiseOnceWithEvidence(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.doc.Samples.StepTime = 10 * time.Millisecond
+	release := make(chan struct{})
+	c.gen.setHook(func(ctx context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		<-release
+		c.gen.setHook(nil)
+		return c.gen.Generate(ctx, r)
+	})
+	trainer := c.openTest(c.daemons[0], 1, 1, 2)
+	waitFor(t, "alarm", func() bool { return len(c.recorder.brokenOnes()) > 0 })
+	close(release)
+	trainer.pullAll(c.daemons[0])
+	trainer.check(2)
+	broken := c.recorder.brokenOnes()
+	if len(broken) != 1 || broken[0].Subject != "step captions/1" || broken[0].Detail == "" {
+		t.Errorf("evidence %+v", broken)
+	}
+	if c.recorder.keptOf(alarm.TrainerIdle) != 0 {
+		t.Error("a late step was recorded as kept")
+	}
+}
+
+func TestBusyRunnersLeaveGroupsToOthers(t *testing.T) {
+	c := newCluster(t, 3, func(config *Config) { config.GroupsInProgress = 1 })
+	release := make(chan struct{})
+	c.gen.setHook(func(ctx context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		<-release
+		return c.gen.whole(r, "e0", segmentOf(1)), nil
+	})
+	trainer := c.openTest(c.daemons[0], 1, 9, 1)
+	waitFor(t, "one group on each daemon", func() bool { return c.gen.count() == 3 })
+	for _, d := range c.daemons {
+		if running := d.manager.runner.groupsInProgress(); running > 1 {
+			t.Errorf("%s runs %d groups", d.member.ID, running)
+		}
+	}
+	close(release)
+	trainer.pullAll(c.daemons[1])
+	trainer.check(9)
 }
--- a/rollout/staleness_test.go
+++ b/rollout/staleness_test.go
@@ -33,7 +33,7 @@
 	front.own = heard
 	c.mu.Unlock()
 	c.gen.setHook(func(_ context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
-		return c.gen.whole(r, "e0", backend.Segment{Version: 3, Tokens: 8}), nil
+		return c.gen.whole(r, "e0", segmentOf(3)), nil
 	})
 	trainer.pullAll(front)
 	trainer.check(8)
@@ -61,7 +61,7 @@
 			<-ctx.Done() // never finishes: it must be cut
 			return dispatch.Completion{}, ctx.Err()
 		}
-		return c.gen.whole(r, "e0", backend.Segment{Version: version, Tokens: 8}), nil
+		return c.gen.whole(r, "e0", segmentOf(version)), nil
 	})
 	trainer := c.openTest(c.daemons[0], 1, 2, 4)
 	waitFor(t, "samples in progress", func() bool { return c.gen.count() >= 8 })
@@ -86,7 +86,7 @@
 	trainer := c.openTest(c.daemons[0], 1, 2, 4)
 	c.held(8)
 	c.gen.setHook(func(_ context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
-		return c.gen.whole(r, "e0", backend.Segment{Version: 5, Tokens: 8}), nil
+		return c.gen.whole(r, "e0", segmentOf(5)), nil
 	})
 	trainer.version = 5
 	trainer.pullAll(c.daemons[1])
--- a/rollout/tags_test.go
+++ b/rollout/tags_test.go
@@ -30,9 +30,9 @@
 	c.versions.set(2)
 	c.gen.setHook(func(_ context.Context, call int, r dispatch.SampleRequest) (dispatch.Completion, error) {
 		if call%2 == 0 {
-			return c.gen.whole(r, "old", backend.Segment{Version: 1, Tokens: 8}), nil
+			return c.gen.whole(r, "old", segmentOf(1)), nil
 		}
-		return c.gen.whole(r, "new", backend.Segment{Version: 2, Tokens: 8}), nil
+		return c.gen.whole(r, "new", segmentOf(2)), nil
 	})
 	trainer := c.openTest(c.daemons[0], 1, 1, 4)
 	trainer.pullAll(c.daemons[1])
@@ -67,7 +67,7 @@
 					completion.Tokens = 8
 					return completion, test.err
 				}
-				return c.gen.whole(r, "e0", backend.Segment{Version: 1, Tokens: 8}), nil
+				return c.gen.whole(r, "e0", segmentOf(1)), nil
 			})
 			trainer := c.openTest(c.daemons[0], 1, 1, 1)
 			trainer.pullAll(c.daemons[0])
