--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -29,6 +29,7 @@
 	since   time.Time // when it was chosen
 	first   time.Time // when the first tokens came, zero before
 	tokens  int       // so far
+	chunks  int       // with tokens, so far
 	oldest  int64     // oldest version so far, 0 for none
 	latest  int64     // version of the latest segment
 }
@@ -87,6 +88,9 @@
 		a.replica = replica
 		a.since = a.j.m.now()
 	}
+	if tokens > a.tokens {
+		a.chunks++
+	}
 	if tokens > 0 && a.first.IsZero() {
 		a.first = a.j.m.now()
 	}
@@ -189,6 +193,7 @@
 type attemptTime struct {
 	chosen   bool // a replica was chosen
 	tokens   int
+	chunks   int
 	since    time.Duration // since then
 	decoding time.Duration // since the first tokens
 	first    time.Duration // from the choice to the first tokens
@@ -197,7 +202,7 @@
 func (a *attempt) elapsed() attemptTime {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	e := attemptTime{chosen: a.replica != "", tokens: a.tokens}
+	e := attemptTime{chosen: a.replica != "", tokens: a.tokens, chunks: a.chunks}
 	if !e.chosen {
 		return e
 	}
--- a/rollout/straggler.go
+++ b/rollout/straggler.go
@@ -18,6 +18,8 @@
 	hedgeAgeLeast   = 150 * time.Millisecond // the same, at least
 	waitFactor      = 1.5                    // times longer than nearly all waited for their first tokens
 	movesMost       = 2                      // times that a straggler is begun again elsewhere
+	chunksLeast     = 3                      // chunks of a straggler that prove its replica slow
+	slowTime        = 5 * time.Second        // a replica stays proven slow
 	moveShare       = 0.25                   // part of the expected tokens up to which it is
 	hedgeCreditMost = 16                     // unused hedges that a service keeps
 	hedgeTokenShare = 0.05                   // thrown away tokens over generated ones
@@ -25,8 +27,9 @@
 
 // speeds keeps the recent speeds and the hedge budget of each service on this daemon.
 type speeds struct {
-	mu sync.Mutex
-	by map[string]*serviceSpeed
+	mu   sync.Mutex
+	by   map[string]*serviceSpeed
+	slow map[string]time.Time // replicas, until when they are proven slow
 }
 
 type serviceSpeed struct {
@@ -50,7 +53,27 @@
 // rate returns the tokens a second after the first ones.
 func (f finishedSample) rate() float64 { return float64(f.tokens) / f.decoding().Seconds() }
 
-func newSpeeds() *speeds { return &speeds{by: map[string]*serviceSpeed{}} }
+func newSpeeds() *speeds {
+	return &speeds{by: map[string]*serviceSpeed{}, slow: map[string]time.Time{}}
+}
+
+func (s *speeds) markSlow(replica string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow[replica] = now.Add(slowTime)
+}
+
+// isSlow reports whether a straggler proved the replica slow a moment ago.
+func (s *speeds) isSlow(replica string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.slow[replica]
+	if ok && now.After(until) {
+		delete(s.slow, replica)
+		return false
+	}
+	return ok
+}
 
 func (s *speeds) service(name string) *serviceSpeed {
 	v, ok := s.by[name]
@@ -183,10 +206,17 @@
 // another replica than hedged: when little was generated, that costs few tokens and
 // leaves the slow replica.
 func (j *job) betterMoved(a *attempt, doc *document.Document) bool {
-	if j.moves >= movesMost || !j.m.runner.speeds.mayWaste(doc.Service) {
+	speeds := j.m.runner.speeds
+	if j.moves >= movesMost || !speeds.mayWaste(doc.Service) {
+		return false
+	}
+	if a.elapsed().chunks >= chunksLeast {
+		speeds.markSlow(a.replicaID(), j.m.now())
+	}
+	if !speeds.isSlow(a.replicaID(), j.m.now()) {
 		return false
 	}
-	expected := j.m.runner.speeds.expectedTokens(doc.Service, int(j.group.group.MaxTokens))
+	expected := speeds.expectedTokens(doc.Service, int(j.group.group.MaxTokens))
 	return float64(a.progress()) <= moveShare*float64(expected)
 }
 
