fleet: send list differences, ask the platform before ready, bound Apply

Cause: each change of the instance list made 11 collectors fetch the whole list from the one that read it; a restarted collector could be ready with the older version of a stale peer before the platform answered; Apply had no bound of its own while a lost answer could not be settled. Shown failing without the wait: 'ready with version 1, want 2'. Conclusion: go test -race ./fleet passes.

--- a/fleet/admin.go
+++ b/fleet/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
@@ -10,8 +11,13 @@
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
+// applyTimeout bounds the settling of a change whose answer was lost.
+const applyTimeout = 10 * time.Second
+
 // Apply implements Admin.
 func (m *Manager) Apply(ctx context.Context, source []byte, version int64) (document.Versioned, error) {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
 	parsed, err := m.config.Parse("document", source)
 	if err != nil {
 		return document.Versioned{}, err
--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -91,22 +91,23 @@
 	if err != nil {
 		return err
 	}
+	list, _ := a.manager.listSnapshot()
 	reported := make(chan struct{})
 	go func() {
 		defer close(reported)
 		defer cancel()
-		a.report(ctx, stream)
+		a.report(ctx, stream, list.Revision)
 	}()
-	err = a.receive(stream, collector)
+	err = a.receive(stream, collector, list)
 	cancel()
 	<-reported
 	_ = stream.Close()
 	return err
 }
 
-// receive applies updates until the stream ends.
-func (a *attendance) receive(stream fleetpb.DRPCFleet_AttendClient, collector Member) error {
-	var list platform.InstanceSnapshot
+// receive applies updates until the stream ends. List changes start from list, which
+// the first report named.
+func (a *attendance) receive(stream fleetpb.DRPCFleet_AttendClient, collector Member, list platform.InstanceSnapshot) error {
 	for {
 		update, err := stream.Recv()
 		if err != nil {
@@ -125,11 +126,15 @@
 }
 
 // report sends a report in each interval and when something changed.
-func (a *attendance) report(ctx context.Context, stream fleetpb.DRPCFleet_AttendClient) {
+func (a *attendance) report(ctx context.Context, stream fleetpb.DRPCFleet_AttendClient, listRevision int64) {
 	m := a.manager
 	for first := true; ctx.Err() == nil; first = false {
 		documents, roster := m.Changed(), m.rosterChanged()
-		if stream.Send(m.makeReport(first)) != nil {
+		report := m.makeReport()
+		if first {
+			report.PeerAddress, report.ListRevision = m.config.Self.PeerAddress, listRevision
+		}
+		if stream.Send(report) != nil {
 			return
 		}
 		m.counts.reportsSent.Add(1)
@@ -138,18 +143,11 @@
 	}
 }
 
-func (m *Manager) makeReport(first bool) *fleetpb.Report {
+func (m *Manager) makeReport() *fleetpb.Report {
 	m.mu.Lock()
-	drained, listRevision := m.roster.drained, m.roster.list.Revision
+	drained := m.roster.drained
 	m.mu.Unlock()
-	report := &fleetpb.Report{
-		Row: m.ownRow(), ListRevision: listRevision, Drained: drained,
-		Leaving: marksToWire(m.marksNow(), m.config.Now()),
-	}
-	if first {
-		report.PeerAddress = m.config.Self.PeerAddress
-	}
-	return report
+	return &fleetpb.Report{Row: m.ownRow(), Drained: drained, Leaving: marksToWire(m.marksNow(), m.config.Now())}
 }
 
 // ownRow returns what this daemon has in force.
--- a/fleet/configuration_test.go
+++ b/fleet/configuration_test.go
@@ -142,6 +142,30 @@
 	}
 }
 
+// TestStartWaitsForThePlatformBesideStalePeers starts a collector whose peers missed a
+// change and answer sooner than the platform: it must not be ready with the older
+// version.
+func TestStartWaitsForThePlatformBesideStalePeers(t *testing.T) {
+	c := newCluster(t)
+	nodes := []*node{c.add("d1", "x"), c.add("d2", "x"), c.add("d3", "x")}
+	eventually(t, "all ready with two collectors", func() bool { return allReady(nodes) && len(collectors(nodes)) == 2 })
+	version := apply(t, nodes[0], "svc one", 0)
+	eventually(t, "in force everywhere", func() bool { return everywhere(nodes, "svc", version) })
+	started := collectors(nodes)[0]
+	for range 3 {
+		started.stop()
+		c.fake.SetFaults(fakeplatform.Faults{SilenceWatches: true, SlowMS: testMemberTimeout.Milliseconds() / 2})
+		version = c.fake.Put("documents/svc", []byte("svc newer")).Version
+		started.start()
+		eventually(t, "ready", started.Ready)
+		if got := started.inForce("svc"); got != version {
+			t.Fatalf("ready with version %d, want %d", got, version)
+		}
+		c.fake.SetFaults(fakeplatform.Faults{})
+		eventually(t, "all ready", func() bool { return allReady(nodes) && len(collectors(nodes)) == 2 })
+	}
+}
+
 func TestDocumentAcceptedJustBeforeAnOutageIsInForceEverywhere(t *testing.T) {
 	c := newCluster(t)
 	nodes := []*node{c.add("d1", "x"), c.add("d2", "x"), c.add("d3", "x"), c.add("d4", "y"), c.add("d5", "z")}
--- a/fleet/direct.go
+++ b/fleet/direct.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
 // readDirect reads the platform while this daemon neither attends a collector nor is
@@ -19,13 +18,14 @@
 	}
 }
 
-// readPlatform reads list and documents. What the last collector told of instances is
+// readPlatform reads documents and list. What the last collector told of instances is
 // dropped once it is old.
 func (m *Manager) readPlatform(ctx context.Context) {
+	_, _ = m.readDocuments(ctx)
+	m.asked.Store(true)
 	if m.readList(ctx) == nil && m.member.lost() {
 		m.applyFlags(&fleetpb.Flags{})
 	}
-	_, _ = m.readDocuments(ctx)
 }
 
 // readList reads the instance list and applies it.
@@ -39,25 +39,6 @@
 	return nil
 }
 
-// offerList applies a list unless it is older than the known one.
-func (m *Manager) offerList(snapshot platform.InstanceSnapshot) {
-	m.update(func(r *roster) bool {
-		if r.known && snapshot.Revision <= r.list.Revision {
-			return false
-		}
-		r.list = snapshot
-		r.known = true
-		return true
-	})
-}
-
-// listSnapshot returns the known list and whether there is one.
-func (m *Manager) listSnapshot() (platform.InstanceSnapshot, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.list, m.roster.known
-}
-
 // readDocuments reads all documents and returns the store revision they are of.
 func (m *Manager) readDocuments(ctx context.Context) (int64, error) {
 	snapshot, err := m.store.List(ctx, documentPrefix)
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -70,8 +70,6 @@
 	answer := &fleetpb.FetchAnswer{}
 	answer.More = out.addDocuments(update)
 	answer.Documents, answer.AsOf, answer.Whole = update.Documents, update.AsOf, update.Whole
-	if list, known := m.listSnapshot(); known && list.Revision > request.ListRevision {
-		answer.List = wholeList(list)
-	}
+	answer.List = m.listSince(request.ListRevision)
 	return answer, nil
 }
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -76,6 +76,7 @@
 	wake      chan struct{} // holds one value when roles must be placed again
 	pulls     chan string   // peer addresses that hold something newer
 	contact   atomic.Int64  // ns since the Unix epoch: last answer of the platform or a peer
+	asked     atomic.Bool   // the platform answered the first read of documents or failed it
 	current   atomic.Pointer[view]
 
 	mu      sync.Mutex
@@ -110,12 +111,10 @@
 	return fleetpb.DRPCRegisterFleet(mux, &service{manager: m})
 }
 
-// Ready reports whether documents and the instance list are known.
-func (m *Manager) Ready() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.roster.known && m.documents.ready()
-}
+// Ready reports whether documents and the instance list are known. Documents of peers
+// count once the platform was asked too, so that a daemon starts with the highest
+// versions of both.
+func (m *Manager) Ready() bool { return m.asked.Load() && m.listKnown() && m.documents.ready() }
 
 // update changes the roster and publishes a new view if change reports true.
 func (m *Manager) update(change func(*roster) bool) {
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -121,3 +121,25 @@
 		t.Error("a collector waits for its turn although nobody reads the list")
 	}
 }
+
+func TestListChangesAreSentAsDifferencesWhileTheBaseIsKept(t *testing.T) {
+	m := poolOf("d1", "x", 100)
+	base, _ := m.listSnapshot()
+	for revision := int64(2); revision <= recentLists+2; revision++ {
+		list, _ := m.listSnapshot()
+		next := platform.InstanceSnapshot{Revision: revision, Instances: slices.Clone(list.Instances[1:])}
+		next.Instances[0].State = platform.Leaving
+		m.offerList(next)
+		newest, _ := m.listSnapshot()
+		change := m.listSince(base.Revision)
+		if kept := revision <= recentLists+1; change.Whole == kept || kept && len(change.Changed) != 1 {
+			t.Fatalf("revision %d: whole %t, %d changed", revision, change.Whole, len(change.Changed))
+		}
+		if got := applyListChange(base, change); got.Revision != newest.Revision || !slices.Equal(got.Instances, newest.Instances) {
+			t.Fatalf("revision %d: the change leads to another list", revision)
+		}
+	}
+	if m.listSince(recentLists+2) != nil {
+		t.Error("a change was made for a daemon that has the newest list")
+	}
+}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -10,7 +10,6 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
 // service implements the drpc service of a Manager.
@@ -109,7 +108,7 @@
 // serve sends updates until the stream ends or the member went silent.
 func (c *collector) serve(ctx context.Context, stream fleetpb.DRPCFleet_AttendStream, a *attendee, first *fleetpb.Report) error {
 	m := c.manager
-	out := outbox{manager: m, sent: first.Row.Head, ahead: map[string]int64{}}
+	out := outbox{manager: m, sent: first.Row.Head, ahead: map[string]int64{}, list: first.ListRevision}
 	for ctx.Err() == nil {
 		documents, roster := m.Changed(), m.rosterChanged()
 		if c.silent(a) {
@@ -145,8 +144,7 @@
 	sent    int64            // documents up to this version
 	ahead   map[string]int64 // versions sent ahead of that, by service
 	whole   bool             // a whole set was named
-	list    platform.InstanceSnapshot
-	listed  bool // a list was sent
+	list    int64            // revision of the list that the member has
 	flags   *fleetpb.Flags
 }
 
@@ -201,16 +199,10 @@
 }
 
 func (o *outbox) addList(update *fleetpb.Update) {
-	list, known := o.manager.listSnapshot()
-	switch {
-	case !known || o.listed && list.Revision == o.list.Revision:
-		return
-	case o.listed:
-		update.List = listChange(o.list, list)
-	default:
-		update.List = wholeList(list)
+	update.List = o.manager.listSince(o.list)
+	if update.List != nil {
+		o.list = update.List.Revision
 	}
-	o.list, o.listed = list, true
 }
 
 func (o *outbox) addFlags(update *fleetpb.Update) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,11 +27,12 @@
 	subsetSize int
 
 	list    platform.InstanceSnapshot
-	known   bool                 // a list was received
-	marks   map[string]time.Time // leaving instances: when one was last observed
-	pushed  map[string]bool      // leaving instances that the collector told
-	silent  map[string]bool      // daemons that no collector hears
-	drained bool                 // Self takes no new work
+	recent  []platform.InstanceSnapshot // lists before that, ordered by revision
+	known   bool                        // a list was received
+	marks   map[string]time.Time        // leaving instances: when one was last observed
+	pushed  map[string]bool             // leaving instances that the collector told
+	silent  map[string]bool             // daemons that no collector hears
+	drained bool                        // Self takes no new work
 }
 
 // isLeaving reports whether an instance was observed leaving.
