dispatch: retry on the only server over a fresh connection; bound slow callers

Cause: a pool of one server lost idempotent requests whose connection had gone silent, since the retry excluded the server; a caller that stops reading held its replica for good.

Change: when no other replica is left and only the connection failed, the retry goes to the same server; the write deadline of a response is the request's plus 5 s.

Taken out on a scratch change: the retry ('while the open connections are silent: 503').

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -45,7 +45,7 @@
 	var tried []string
 	var last error
 	for number := 1; ; number++ {
-		lease, err := m.parts.Picker.Pick(ctx, c.routingRequest(tried))
+		lease, err := m.pick(ctx, c, tried, last)
 		if err != nil {
 			return c.final(firstError(last, err))
 		}
@@ -107,6 +107,16 @@
 	}
 }
 
+// pick chooses a replica that was not tried. When there is no other and only the
+// connection failed, it chooses any: the next attempt uses a fresh connection.
+func (m *Manager) pick(ctx context.Context, c *call, tried []string, last error) (routing.Lease, error) {
+	lease, err := m.parts.Picker.Pick(ctx, c.routingRequest(tried))
+	if err != nil && fault.Is(last, fault.Unavailable) {
+		return m.parts.Picker.Pick(ctx, c.routingRequest(nil))
+	}
+	return lease, err
+}
+
 func (c *call) routingRequest(tried []string) routing.Request {
 	return routing.Request{
 		Service:     c.document.Service,
--- a/dispatch/manager.go
+++ b/dispatch/manager.go
@@ -29,6 +29,10 @@
 	Log      *event.Logger
 }
 
+// writeGrace is the time after a request's deadline in which the caller may still read
+// its error. A caller that reads nothing for longer holds no replica.
+const writeGrace = 5 * time.Second
+
 // Manager dispatches the requests of callers and implements Generator.
 type Manager struct {
 	parts Parts
@@ -56,6 +60,9 @@
 		return
 	}
 	w.Header().Set(headerRequestID, c.requestID)
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(arrived.Add(c.deadline + writeGrace))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	ctx, cancel := context.WithTimeout(r.Context(), c.deadline-m.now().Sub(arrived))
 	defer cancel()
 	if err := m.serve(ctx, w, c); err != nil {
--- a/dispatch/wire_test.go
+++ b/dispatch/wire_test.go
@@ -128,12 +128,21 @@
 }
 
 func TestRequestsOutliveSilentConnections(t *testing.T) {
-	one, other := newWireServer(t), newWireServer(t)
-	w, store := newWireWorld(t, one, other)
+	outliveSilentConnections(t, 2, 12)
+	outliveSilentConnections(t, 1, budgetBurst-2) // no other server; the retry budget covers all
+}
+
+func outliveSilentConnections(t *testing.T, count, requests int) {
+	var servers []*wireServer
+	for range count {
+		servers = append(servers, newWireServer(t))
+	}
+	one := servers[0]
+	w, store := newWireWorld(t, servers...)
 	both := func(what string) {
 		t.Helper()
 		var group sync.WaitGroup
-		for range 12 {
+		for range requests {
 			group.Go(func() {
 				if rec, _ := w.send("GET", "ledgerdesk/lookup", ""); rec.Code != 200 {
 					t.Errorf("%s: %d %s", what, rec.Code, rec.Body)
