routing: fewer status polls; claims: busy shards wait for larger batches

Change: a replica whose load came with responses within the interval, or that got nothing from this daemon since its last poll, is polled every fourth interval; partly swapped and leaving ones each interval, suspended ones four times in it. A shard whose appends follow each other within 200 ms waits up to 50 ms for claims.

Figures: polls of an unused or reporting replica in 8 intervals: 2 (8 before).

--- a/claims/fakes_test.go
+++ b/claims/fakes_test.go
@@ -155,6 +155,7 @@
 	for _, id := range ids {
 		config := Config{Shards: 1, BatchInterval: time.Microsecond, Retention: time.Hour}
 		c.managers[id] = NewManager(config, daemonView{c: c, id: id}, c.store, c, nil)
+		c.managers[id].busyWait = 0
 		c.keeper[id] = ids[0]
 		t.Cleanup(c.managers[id].stop)
 	}
--- a/claims/keeper.go
+++ b/claims/keeper.go
@@ -52,6 +52,8 @@
 	log    *event.Logger
 	now    func() time.Time
 
+	busyWait time.Duration // longest wait of a claim in a busy shard
+
 	background context.Context // of the shards' work
 	stop       context.CancelFunc
 
@@ -77,9 +79,11 @@
 		conns:  conns,
 		log:    log,
 		now:    time.Now,
-		shards: make(map[shardID]*shard),
-		counts: make(map[string]int),
-		away:   make(map[string]time.Time),
+
+		busyWait: busyWait,
+		shards:   make(map[shardID]*shard),
+		counts:   make(map[string]int),
+		away:     make(map[string]time.Time),
 	}
 	m.background, m.stop = context.WithCancel(context.Background())
 	return m
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -12,10 +12,12 @@
 
 // Limits of a shard's work.
 const (
-	maxBatch    = 256             // claims in one entry
-	maxRounds   = 8               // appends of a batch that lost against other keepers
-	batchLimit  = 4 * time.Second // one batch, its rounds included
-	ambientSize = 5 * time.Second // compaction and sweeping after a batch
+	maxBatch      = 256                    // claims in one entry
+	maxRounds     = 8                      // appends of a batch that lost against other keepers
+	batchLimit    = 4 * time.Second        // one batch, its rounds included
+	busyGap       = 200 * time.Millisecond // appends closer than this make a shard busy
+	busyWait      = 50 * time.Millisecond  // longest wait of a claim in a busy shard
+	maintainLimit = 5 * time.Second        // compaction and sweeping after a batch
 )
 
 // shard grants the claims of one shard, a batch at a time. A goroutine runs while
@@ -31,7 +33,9 @@
 	flushing bool
 	lastUsed time.Time
 
-	ledger *ledger // used by the flushing goroutine only; nil: load first
+	// Used by the flushing goroutine only.
+	ledger     *ledger // nil: load first
+	lastAppend time.Time
 }
 
 // pending is a claim that waits for its batch.
@@ -66,7 +70,7 @@
 // flush runs batches until no claim waits.
 func (s *shard) flush() {
 	for {
-		time.Sleep(s.manager.config.BatchInterval)
+		time.Sleep(s.batchWait())
 		batch := s.take()
 		if batch == nil {
 			return
@@ -76,6 +80,14 @@
 	}
 }
 
+// batchWait is how long claims wait for others: longer while appends follow each other
+// closely, so that a busy shard writes fewer objects.
+func (s *shard) batchWait() time.Duration {
+	since := s.manager.now().Sub(s.lastAppend)
+	busy := time.Duration(float64(s.manager.busyWait) * (1 - float64(since)/float64(busyGap)))
+	return max(s.manager.config.BatchInterval, busy)
+}
+
 func (s *shard) take() []*pending {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,6 +132,7 @@
 	switch {
 	case err == nil:
 		s.ledger.appended(object, grants)
+		s.lastAppend = m.now()
 		m.count(func(c *Counters) { c.Appends++; c.Appended += int64(len(grants)) })
 		return nil
 	case fault.Is(err, fault.Conflict):
@@ -206,7 +219,7 @@
 		return
 	}
 	m := s.manager
-	ctx, cancel := context.WithTimeout(m.background, ambientSize)
+	ctx, cancel := context.WithTimeout(m.background, maintainLimit)
 	defer cancel()
 	if len(s.ledger.entries) >= compactEntries {
 		err := s.ledger.compact(ctx, s.journal, m.view.Self().ID, m.now(), m.config.Retention)
--- a/routing/poll.go
+++ b/routing/poll.go
@@ -14,6 +14,7 @@
 	defaultPollInterval = time.Second
 	statusTimeout       = 2 * time.Second  // of a status poll, at least
 	pollTicks           = 4                // ticks in a poll interval; suspended replicas are polled each tick
+	pollsSkipped        = 3                // turns without a poll where the load is known or not needed
 	pollWanted          = 10 * time.Second // a replica outside the subset is polled this long after its last use
 )
 
@@ -40,31 +41,35 @@
 func (s *Store) pollTick(ctx context.Context, tick int, limit time.Duration) {
 	for _, versioned := range s.docs.All() {
 		model := versioned.Document.Kind == document.Model
-		for _, r := range s.due(versioned.Document.Pool, model, tick) {
+		for _, r := range s.due(versioned.Document.Pool, model, tick, limit) {
 			go s.check(ctx, r, model, limit)
 		}
 	}
 }
 
 // due returns the pool's replicas to poll or probe now and marks them as polling.
-func (s *Store) due(name string, model bool, tick int) []*replica {
+func (s *Store) due(name string, model bool, tick int, interval time.Duration) []*replica {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	var out []*replica
 	for i, r := range s.refresh(name, now).whole {
 		turn := i%pollTicks == tick
-		if r.polling || !r.pollDue(model, turn, now) {
+		if r.polling || !r.pollDue(model, turn, now, interval) {
 			continue
 		}
 		r.polling = true
+		r.polled = now
+		r.skipped = 0
 		s.counters.Polls++
 		out = append(out, r)
 	}
 	return out
 }
 
-func (r *replica) pollDue(model, turn bool, now time.Time) bool {
+// pollDue reports whether the replica is to be polled or probed in this tick; turn is
+// true once an interval.
+func (r *replica) pollDue(model, turn bool, now time.Time, interval time.Duration) bool {
 	if r.state.Failing {
 		return !r.health.halfOpen && !now.Before(r.health.nextProbe)
 	}
@@ -73,7 +78,24 @@
 	}
 	followed := r.inSubset || now.Sub(r.wanted) < pollWanted
 	first := r.state.Reported.IsZero()
-	return followed && (turn || first || r.state.Suspended)
+	if !followed || !(turn || first || r.state.Suspended) {
+		return false
+	}
+	if first || r.unsettled(now) || r.skipped >= pollsSkipped {
+		return true
+	}
+	known := now.Sub(r.loaded) < interval
+	unused := !r.lastProbe.After(r.polled)
+	if known || unused {
+		r.skipped++
+		return false
+	}
+	return true
+}
+
+// unsettled reports whether the replica's status is about to change.
+func (r *replica) unsettled(now time.Time) bool {
+	return r.state.Suspended || !r.state.Whole || r.leaving(now)
 }
 
 // check asks the replica for its status or, a plain service, for a connection.
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -26,6 +26,9 @@
 	busyUntil   time.Time // it refused work because of its load
 	wanted      time.Time // last time a choice considered the replica
 	polling     bool
+	polled      time.Time // last poll
+	skipped     int       // turns without a poll since then
+	loaded      time.Time // last load that came with a response
 	probePicks  int64     // pool's choices at the replica's last request
 	lastProbe   time.Time // replica's last request
 	listed      bool      // in the list at the last refresh
--- a/routing/store.go
+++ b/routing/store.go
@@ -217,7 +217,8 @@
 		},
 		Load: func(load backend.Load) {
 			s.mu.Lock()
-			rep.report(load, s.now())
+			rep.loaded = s.now()
+			rep.report(load, rep.loaded)
 			s.mu.Unlock()
 		},
 	}
--- a/routing/store_test.go
+++ b/routing/store_test.go
@@ -143,7 +143,7 @@
 		}
 	}
 	w.advance(2 * firstBackoff)
-	due := w.store.due("pool", false, 0)
+	due := w.store.due("pool", false, 0, time.Second)
 	if len(due) != 1 {
 		t.Fatalf("%d probes due", len(due))
 	}
@@ -291,3 +291,52 @@
 		t.Error("a probe that showed the replica slow goes on")
 	}
 }
+
+// pollsIn counts the polls of r000 in so many intervals; each calls before.
+func pollsIn(w *world, intervals int, before func()) (polls int) {
+	for range intervals {
+		w.advance(time.Second)
+		before()
+		for tick := range pollTicks {
+			for _, r := range w.store.due("pool", true, tick, time.Second) {
+				if r.state.Replica.ID == "r000" {
+					polls++
+				}
+				w.store.report(r.state.Replica, w.status)
+				w.store.checked(r, nil, w.now())
+			}
+		}
+	}
+	return polls
+}
+
+func TestPollsAreSkippedWhereTheLoadIsKnownOrNotNeeded(t *testing.T) {
+	use := func(w *world, load bool) {
+		lease := w.pick(t, Request{Exclude: []string{"r001"}})
+		if load {
+			lease.Load(backend.Load{Running: 1})
+		}
+		lease.Done(nil, time.Second)
+	}
+	table := []struct {
+		name   string
+		status backend.EngineStatus
+		before func(w *world)
+		want   int // polls in 8 intervals
+	}{
+		{"not used", backend.EngineStatus{Whole: true}, func(*world) {}, 2},
+		{"used, no load in its responses", backend.EngineStatus{Whole: true}, func(w *world) { use(w, false) }, 8},
+		{"used, load in its responses", backend.EngineStatus{Whole: true}, func(w *world) { use(w, true) }, 2},
+		{"partial swap", backend.EngineStatus{}, func(*world) {}, 8},
+		{"leaving", backend.EngineStatus{Whole: true, Leaving: true}, func(*world) {}, 8},
+		{"suspended", backend.EngineStatus{Version: 1, Whole: true}, func(w *world) { w.store.Suspend("r000", 9) }, 8 * pollTicks},
+	}
+	for _, row := range table {
+		w := newWorld("", 2)
+		w.status = row.status
+		pollsIn(w, 1, func() {})
+		if got := pollsIn(w, 8, func() { row.before(w) }); got != row.want {
+			t.Errorf("%s: %d polls, want %d", row.name, got, row.want)
+		}
+	}
+}
