--- a/backend/outcome_test.go
+++ b/backend/outcome_test.go
@@ -176,7 +176,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newRawServer(t, func(w net.Conn, _, _ int, id string) bool { return c.answer(w, id) })
-			response, err := backend.NewClient(testTimeouts, nil).Plain(s.address).Do(t.Context(), plainRequest(t, "POST", "r", "body"))
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			response, err := backend.NewClient(testTimeouts, nil).Plain(s.address).Do(ctx, plainRequest(t, "POST", "r", "body"))
 			if (err == nil) != (c.status != 0) {
 				t.Fatalf("Do: %v", err)
 			}
