--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -137,6 +137,13 @@
 	s.fake.SetFaults(fakeplatform.Faults{Hang: true})
 	begin := time.Now()
 	d.stop()
+	waitUntil(t, "the daemon drains", d.gate.draining)
+	for _, path := range []string{"/v1/trainers/captions/pull", "/v1/services/ledgerdesk/records"} {
+		refused := d.call(http.MethodPost, path, "{}").fault(t)
+		if refused.Kind != fault.Draining || refused.Outcome != fault.NotRun {
+			t.Errorf("%s: %+v", path, refused)
+		}
+	}
 	if err := <-d.done; err != nil {
 		t.Errorf("the stop ended with %v", err)
 	}
@@ -155,13 +162,17 @@
 	settings := s.settings(1)
 	settings.Daemon.DrainTime = 100 * time.Millisecond
 	d := s.start(settings)
-	s.apply(d, "ledgerdesk")
+	s.applyText(d, "ledgerdesk", deskDocument+"[servers]\ndrain_time = 1s\n")
 	answers := make(chan answer, 1)
 	go func() { answers <- d.call(http.MethodPost, "/v1/services/ledgerdesk/records", "{}") }()
 	waitUntil(t, "the request is in progress", func() bool { return d.inProgress() == 1 })
+	begin := time.Now()
 	d.stop()
 	err := <-d.done
 	d.done <- nil
+	if took := time.Since(begin); took < time.Second {
+		t.Errorf("cut after %v, the document allows 1s", took)
+	}
 	if err == nil || !strings.Contains(err.Error(), "1 requests were cut") || fault.RemedyOf(err) == "" {
 		t.Errorf("error %v", err)
 	}
@@ -176,6 +187,14 @@
 	}
 }
 
+const deskDocument = `[service]
+name = ledgerdesk
+team = karachi
+region = pk-south
+kind = plain
+pool = ledgerdesk
+`
+
 func (d *testDaemon) inProgress() int {
 	_, progress := d.gate.current()
 	return progress
