--- a/standin/slopes/measure.go
+++ b/standin/slopes/measure.go
@@ -16,15 +16,14 @@
 // member are the rates of one daemon while nobody works.
 type member struct {
 	role
-	Daemons  float64 // in the fleet
-	CPU      float64 // share of a core
-	Memory   float64 // bytes
-	Bytes    float64 // control bytes a second
-	Messages float64 // a second
-	Reads    float64 // a second
-	Writes   float64 // a second
-	Watches  float64
-	Polls    float64 // a second
+	Daemons  float64 `json:"daemons"`         // in the fleet
+	CPU      float64 `json:"cpu"`             // share of a core
+	Memory   float64 `json:"memory"`          // bytes
+	Bytes    float64 `json:"control_bytes_s"` //
+	Messages float64 `json:"messages_s"`      //
+	Polls    float64 `json:"polls_s"`         //
+	Reads    float64 `json:"reads_s"`         // of the platform
+	Writes   float64 `json:"writes_s"`        // to the platform
 }
 
 // Measured is what one layout gave.
@@ -32,6 +31,9 @@
 	Layout
 	idle []member // one a daemon
 
+	Member    member `json:"member"`    // mean of those that do not collect
+	Collector member `json:"collector"` // mean of those that collect
+
 	PlatformReads  float64   `json:"platform_reads_s"`  // idle, all daemons
 	PlatformWrites float64   `json:"platform_writes_s"` //
 	Watches        float64   `json:"watches"`           // waiting
@@ -80,6 +82,7 @@
 	if m.idle, err = f.idleRates(ctx, &m); err != nil {
 		return m, err
 	}
+	m.Member, m.Collector = means(m.idle, false), means(m.idle, true)
 	if err := f.measureChanges(ctx, options.Examples, &m); err != nil {
 		return m, err
 	}
@@ -126,8 +129,8 @@
 		polls += r.Polls
 		members = append(members, member{
 			role: r.role, Daemons: float64(f.layout.Daemons), CPU: r.CPU / seconds, Memory: r.Memory,
-			Bytes: r.Bytes / seconds, Messages: r.Messages / seconds, Reads: r.Reads / seconds,
-			Writes: r.Writes / seconds, Watches: r.Watches, Polls: r.Polls / seconds,
+			Bytes: r.Bytes / seconds, Messages: r.Messages / seconds, Polls: r.Polls / seconds,
+			Reads: r.Reads / seconds, Writes: r.Writes / seconds,
 		})
 	}
 	m.PlatformReads = reads(calls, callsAfter) / seconds
--- a/standin/slopes/page.go
+++ b/standin/slopes/page.go
@@ -62,7 +62,7 @@
 	p.head("daemons", "domains", "replicas", "poll", "member: core %", "KB/s", "MB", "collector: members", "core %", "KB/s", "MB",
 		"platform reads/s", "writes/s", "watches", "in force, slowest s", "weights wave s")
 	for _, m := range r.Layouts {
-		members, collectors := means(m.idle, false), means(m.idle, true)
+		members, collectors := m.Member, m.Collector
 		p.row(num(float64(m.Daemons)), num(float64(m.Domains)), num(float64(m.Replicas)), m.poll(),
 			num(100*members.CPU), num(members.Bytes/1e3), num(members.Memory/1e6),
 			num(collectors.Attendees), num(100*collectors.CPU), num(collectors.Bytes/1e3), num(collectors.Memory/1e6),
@@ -187,8 +187,16 @@
 		sum.Bytes += m.Bytes
 		sum.Memory += m.Memory
 		sum.Attendees += m.Attendees
+		sum.Collectors += m.Collectors
+		sum.Messages += m.Messages
+		sum.Polls += m.Polls
+		sum.Reads += m.Reads
+		sum.Writes += m.Writes
+		sum.Collecting, sum.Daemons = m.Collecting, m.Daemons
 	}
 	n = max(n, 1)
-	sum.CPU, sum.Bytes, sum.Memory, sum.Attendees = sum.CPU/n, sum.Bytes/n, sum.Memory/n, sum.Attendees/n
+	for _, value := range []*float64{&sum.CPU, &sum.Bytes, &sum.Memory, &sum.Attendees, &sum.Collectors, &sum.Messages, &sum.Polls, &sum.Reads, &sum.Writes} {
+		*value /= n
+	}
 	return sum
 }
--- a/standin/slopes/reading.go
+++ b/standin/slopes/reading.go
@@ -22,16 +22,15 @@
 	Messages float64 // calls made to and served for other daemons
 	Reads    float64 // of the platform
 	Writes   float64 // to the platform
-	Watches  float64 // waiting now
 	Polls    float64 // of engines
 	role
 }
 
 // role is what a daemon does for others, as its state dump says.
 type role struct {
-	Collecting bool
-	Attendees  float64
-	Collectors float64 // other collectors
+	Collecting bool    `json:"collecting"`
+	Attendees  float64 `json:"members"`    // that it serves
+	Collectors float64 `json:"collectors"` // others that it hears
 }
 
 // metrics is the part of /debug/vars that is used.
@@ -39,9 +38,8 @@
 	Peer       traffic `json:"peer"`
 	PeerServer traffic `json:"peer_server"`
 	Platform   struct {
-		Reads   float64 `json:"reads"`
-		Writes  float64 `json:"writes"`
-		Watches float64 `json:"watches"`
+		Reads  float64 `json:"reads"`
+		Writes float64 `json:"writes"`
 	} `json:"platform"`
 }
 
@@ -114,7 +112,7 @@
 	r := reading{
 		Bytes:    m.Peer.Sent + m.Peer.Received + m.PeerServer.Sent + m.PeerServer.Received,
 		Messages: m.Peer.Calls + m.PeerServer.Calls,
-		Reads:    m.Platform.Reads, Writes: m.Platform.Writes, Watches: m.Platform.Watches,
+		Reads:    m.Platform.Reads, Writes: m.Platform.Writes,
 	}
 	var d dump
 	if err := c.Get(ctx, p.Address, "/v1/dump", &d); err != nil {
--- a/standin/slopes/slopes.go
+++ b/standin/slopes/slopes.go
@@ -34,6 +34,7 @@
 	{Daemons: 60, Domains: 3, Replicas: 24, Poll: 4 * time.Second},
 	{Daemons: 120, Domains: 6, Replicas: 4},
 	{Daemons: 120, Domains: 2, Replicas: 24},
+	{Daemons: 180, Domains: 6, Replicas: 12},
 }
 
 // Run measures all layouts and writes the results. A layout that fails is left out and
@@ -58,7 +59,8 @@
 		return err
 	}
 	if fitError != nil {
-		return fmt.Errorf("%w; measured figures are in %s: %w", fitError, options.Results, errors.Join(failures...))
+		failures = append(failures, fmt.Errorf("%w; measured figures are in %s", fitError, options.Results))
+		return errors.Join(failures...)
 	}
 	if err := writePageTo(options, results); err != nil {
 		return err
