daemon: callers that go silent do not hold their requests

Cause: a caller whose connection went silent while it sent a request or took an answer held its request, its slot and a planned stop for good. Ruled out: WriteTimeout and ReadTimeout of the HTTP server, which would cut long streams and long pulls. Change: each write to a caller and each read of a request's body has a deadline, daemon.caller_progress (30s).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -214,7 +214,7 @@
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	d.start(ctx, running, failed, "http server", func(context.Context) error {
-		err := server.Serve(d.listeners.http)
+		err := server.Serve(progressListener{d.listeners.http, d.settings.Daemon.CallerProgress})
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -21,7 +21,7 @@
 // handler returns the HTTP interface that docs/API.md describes.
 func (d *Daemon) handler() http.Handler {
 	r := chi.NewRouter()
-	r.Use(withRequestID, d.logRequest, d.recoverPanic)
+	r.Use(withRequestID, d.logRequest, d.recoverPanic, d.withBodyProgress)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		fault.WriteHTTP(w, fault.New(fault.NotFound, "no such path "+r.URL.Path, "see docs/API.md", fault.WithOutcome(fault.NotRun)))
 	})
--- a/daemon/schema.go
+++ b/daemon/schema.go
@@ -57,6 +57,7 @@
 			inifile.Text("data_folder", "path", "Folder for bulk data; empty when the instance keeps nothing. No module keeps any yet.", folder),
 			inifile.Duration("drain_time", 30*time.Second, 0, longest, "Requests in progress may take this long at a stop, or as long as a document allows.", func(s *Settings) *time.Duration { return &s.Daemon.DrainTime }),
 			inifile.Duration("drain_notice", time.Second, 0, time.Minute, "The health check fails this long before new work is refused.", func(s *Settings) *time.Duration { return &s.Daemon.DrainNotice }),
+			duration("caller_progress", 30*time.Second, "Longest silence of a caller that sends a request or takes an answer; then its connection is closed.", func(s *Settings) *time.Duration { return &s.Daemon.CallerProgress }),
 		},
 	}
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -25,14 +25,15 @@
 
 // InstanceSettings holds the [daemon] section.
 type InstanceSettings struct {
-	ID            string
-	HTTPAddress   string // host:port, port 0 for a free one
-	PeerAddress   string // host:port, port 0 for a free one
-	Region        string
-	FailureDomain string
-	DataFolder    string // empty: nothing is kept
-	DrainTime     time.Duration
-	DrainNotice   time.Duration
+	ID             string
+	HTTPAddress    string // host:port, port 0 for a free one
+	PeerAddress    string // host:port, port 0 for a free one
+	Region         string
+	FailureDomain  string
+	DataFolder     string // empty: nothing is kept
+	DrainTime      time.Duration
+	DrainNotice    time.Duration
+	CallerProgress time.Duration
 }
 
 // PlatformSettings holds the [platform] section.
