rollout: replicas of failed attempts are tried again when no other is left

State dump: seven samples running at two daemons, routing refused 44 of 57 picks although engine-1 was whole, not suspended and not failing. Each sample kept the replicas of its last two failed attempts excluded (one crashed, one was partly swapped at the time), and with two engines nothing was left, for ever. Ruled out: the platform outage and the stopped daemon (fails without either too); the weights keeper (engine-1 was whole on version 2 after 0.3 s). Change: an attempt that found no replica clears the exclusions. Conclusion: an exclusion is a preference, not a condition.

--- a/rollout/job.go
+++ b/rollout/job.go
@@ -201,9 +201,12 @@
 	return err == nil && a.lagging(doc)
 }
 
-// avoid keeps the next attempts away from a replica whose attempt failed.
+// avoid keeps the next attempts away from a replica whose attempt failed. When an
+// attempt found no replica, those that failed before are tried again: they may have
+// recovered, and there may be no others.
 func (j *job) avoid(replica string) {
 	if replica == "" {
+		j.exclude = nil
 		return
 	}
 	j.exclude = append(j.exclude, replica)
