--- a/rollout/tags_test.go
+++ b/rollout/tags_test.go
@@ -79,3 +79,24 @@
 		})
 	}
 }
+
+func TestFailedReplicasAreTriedAgainWhenThereAreNoOthers(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	replicas := []string{"e0", "e1"}
+	c.gen.setHook(func(_ context.Context, call int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		for _, replica := range replicas {
+			if slices.Contains(r.Exclude, replica) {
+				continue
+			}
+			r.OnProgress(replica, 0)
+			if call <= len(replicas) {
+				return dispatch.Completion{}, fault.New(fault.Truncated, "the engine crashed", "")
+			}
+			return c.gen.whole(r, replica, segmentOf(1)), nil
+		}
+		return dispatch.Completion{}, fault.New(fault.Unavailable, "no replica", "", fault.WithOutcome(fault.NotRun))
+	})
+	trainer := c.openTest(c.daemons[0], 1, 1, 1)
+	trainer.pullAll(c.daemons[0])
+	trainer.check(1)
+}
