--- /dev/null
+++ b/rollout/cluster_test.go
@@ -0,0 +1,330 @@
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hornbeamtide/hornbeamtide/document"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+)
+
+const (
+	testService = "drafts"
+	testPool    = "draftpool"
+	testTrainer = "captions"
+	testLimit   = 20 * time.Second // longest wait for a condition
+)
+
+// cluster is several Managers in one process that talk drpc over loopback.
+type cluster struct {
+	t        *testing.T
+	doc      *document.Document
+	gen      *fakeGenerator
+	versions *fakeVersions
+	store    *memoryStore
+	recorder *countingRecorder
+
+	mu      sync.Mutex
+	daemons []*testDaemon
+}
+
+type testDaemon struct {
+	c       *cluster
+	member  fleet.Member
+	manager *Manager
+	router  http.Handler
+	stop    context.CancelFunc
+	gate    *gate
+	own     *fakeVersions // what this daemon heard of versions, nil for the cluster's
+	gone    bool          // not in the members any more
+}
+
+func newCluster(t *testing.T, count int, tune func(*Config)) *cluster {
+	c := &cluster{
+		t:        t,
+		gen:      newFakeGenerator(),
+		versions: &fakeVersions{},
+		store:    newMemoryStore(),
+		recorder: &countingRecorder{},
+		doc: &document.Document{
+			Service: testService, Team: "t", Region: "r", Kind: document.Model, Pool: testPool,
+			Samples: document.Samples{StalenessBound: 1, Preference: document.PreferIdleTime, GroupSize: 4, MaxTokens: 8, Hedges: 1, HedgeBudget: 100, StepTime: time.Minute},
+		},
+	}
+	c.versions.set(1)
+	c.gen.version = func() int64 { return c.versions.Newest(testPool) }
+	for i := range count {
+		c.add(fmt.Sprintf("d%d", i), tune)
+	}
+	return c
+}
+
+func (c *cluster) add(id string, tune func(*Config)) *testDaemon {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	d := &testDaemon{c: c, gate: newGate()}
+	d.member = fleet.Member{ID: id, PeerAddress: listener.Addr().String(), Region: "r", FailureDomain: "f-" + id}
+	config := Config{GroupsInProgress: 64, StepRetention: time.Minute, TokenInterval: time.Hour}
+	if tune != nil {
+		tune(&config)
+	}
+	pool := peer.NewPool(peer.Config{Connect: time.Second, Progress: 2 * time.Second}, nil)
+	d.manager = NewManager(config, Parts{
+		View: d, Docs: c, Generator: c.gen, Versions: d, Store: c.store, Conns: pool, Recorder: c.recorder,
+	})
+	server := peer.NewServer(nil)
+	if err := d.manager.Register(server.Mux()); err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(ctx, gatedListener{listener, d.gate})
+	}()
+	go func() { _ = d.manager.Run(ctx) }()
+	d.stop = func() {
+		d.gate.open()
+		cancel()
+		pool.Close()
+		<-served
+	}
+	router := chi.NewRouter()
+	router.Route("/v1/trainers", d.manager.Routes)
+	d.router = router
+	c.mu.Lock()
+	c.daemons = append(c.daemons, d)
+	c.mu.Unlock()
+	c.t.Cleanup(d.stop)
+	return d
+}
+
+// kill ends a daemon at once; the others still list it until remove.
+func (d *testDaemon) kill() { d.stop() }
+
+// remove takes a daemon out of the members.
+func (d *testDaemon) remove() {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	d.gone = true
+}
+
+func (c *cluster) daemon(id string) *testDaemon {
+	for _, d := range c.daemons {
+		if d.member.ID == id {
+			return d
+		}
+	}
+	c.t.Fatalf("no daemon %s", id)
+	return nil
+}
+
+// owner returns the daemon that owns a step of the test trainer.
+func (c *cluster) owner(step int64) *testDaemon {
+	return c.daemon(c.daemons[0].Owners(fmt.Sprintf("%s/%d", testTrainer, step), 1)[0].ID)
+}
+
+// other returns a daemon that is not d.
+func (c *cluster) other(d *testDaemon) *testDaemon {
+	for _, o := range c.daemons {
+		if o != d && !o.gone {
+			return o
+		}
+	}
+	c.t.Fatal("no other daemon")
+	return nil
+}
+
+// The fleet.View of a daemon.
+
+func (d *testDaemon) Self() fleet.Member { return d.member }
+
+func (d *testDaemon) Members() []fleet.Member {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	var members []fleet.Member
+	for _, o := range d.c.daemons {
+		if !o.gone {
+			members = append(members, o.member)
+		}
+	}
+	return members
+}
+
+func (d *testDaemon) Owners(key string, n int) []fleet.Member {
+	members := d.Members()
+	rank := func(m fleet.Member) uint64 { return xxhash.Sum64String(key + "|" + m.ID) }
+	sort.Slice(members, func(i, j int) bool { return rank(members[i]) > rank(members[j]) })
+	return members[:min(n, len(members))]
+}
+
+// Newest implements weights.Versions.
+func (d *testDaemon) Newest(pool string) int64 {
+	d.c.mu.Lock()
+	own := d.own
+	d.c.mu.Unlock()
+	if own != nil {
+		return own.Newest(pool)
+	}
+	return d.c.versions.Newest(pool)
+}
+
+func (d *testDaemon) Replicas(string) []fleet.Replica { return nil }
+func (d *testDaemon) Subset(string) []fleet.Replica   { return nil }
+func (d *testDaemon) Isolated() (time.Time, bool)     { return time.Time{}, false }
+func (c *cluster) Changed() <-chan struct{}           { return nil }
+func (c *cluster) All() []document.Versioned          { return []document.Versioned{{Document: c.doc}} }
+
+func (c *cluster) Document(s string) (document.Versioned, bool) {
+	return document.Versioned{Document: c.doc}, s == c.doc.Service
+}
+
+// Calls of a trainer.
+
+func (d *testDaemon) call(path string, body, answer any) (fault.Body, bool) {
+	return d.callOn(httptest.NewRecorder(), path, body, answer)
+}
+
+func (d *testDaemon) callOn(w *httptest.ResponseRecorder, path string, body, answer any) (fault.Body, bool) {
+	encoded, _ := json.Marshal(body)
+	r := httptest.NewRequest(http.MethodPost, "/v1/trainers/"+testTrainer+path, bytes.NewReader(encoded))
+	d.router.ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		var f fault.Body
+		_ = json.Unmarshal(w.Body.Bytes(), &f)
+		return f, false
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), answer); err != nil {
+		d.c.t.Error(err)
+	}
+	return fault.Body{}, true
+}
+
+func (d *testDaemon) session(token string) Session {
+	d.c.t.Helper()
+	var s Session
+	if f, ok := d.call("/sessions", OpenSession{Service: testService, Token: token}, &s); !ok {
+		d.c.t.Fatalf("session: %+v", f)
+	}
+	return s
+}
+
+func openStep(epoch, step int64, groups, samples int) OpenStep {
+	open := OpenStep{Service: testService, Epoch: epoch, Step: step}
+	for g := range groups {
+		open.Groups = append(open.Groups, Group{ID: fmt.Sprintf("g%d", g), Prompt: fmt.Sprintf("prompt %d", g), Samples: samples})
+	}
+	return open
+}
+
+func (d *testDaemon) step(open OpenStep) Step {
+	d.c.t.Helper()
+	var s Step
+	if f, ok := d.call("/steps", open, &s); !ok {
+		d.c.t.Fatalf("step: %+v", f)
+	}
+	return s
+}
+
+func (d *testDaemon) pull(p Pull) (Batch, fault.Body, bool) {
+	var b Batch
+	f, ok := d.call("/pull", p, &b)
+	return b, f, ok
+}
+
+// trainerClient pulls with one token chain and counts what it was given.
+type trainerClient struct {
+	c       *cluster
+	token   string
+	version int64
+	got     map[int]Sample
+	twice   []int
+}
+
+func newTrainer(c *cluster, token string) *trainerClient {
+	return &trainerClient{c: c, token: token, got: map[int]Sample{}}
+}
+
+// take takes in one answer.
+func (tr *trainerClient) take(b Batch) {
+	for _, s := range b.Samples {
+		if _, ok := tr.got[s.ID]; ok {
+			tr.twice = append(tr.twice, s.ID)
+		}
+		tr.got[s.ID] = s
+	}
+	tr.token = b.Token
+}
+
+// pullAll pulls through d until nothing remains.
+func (tr *trainerClient) pullAll(d *testDaemon) {
+	tr.c.t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for time.Now().Before(deadline) {
+		b, f, ok := d.pull(Pull{Token: tr.token, Version: tr.version, WaitMS: 2000})
+		if !ok {
+			tr.c.t.Fatalf("pull: %+v", f)
+		}
+		tr.take(b)
+		if b.Remaining == 0 {
+			return
+		}
+	}
+	tr.c.t.Fatalf("the step was not whole in time: %d samples", len(tr.got))
+}
+
+// check fails the test unless the trainer has each sample once, tagged.
+func (tr *trainerClient) check(samples int) {
+	tr.c.t.Helper()
+	if len(tr.twice) > 0 {
+		tr.c.t.Errorf("delivered twice: %v", tr.twice)
+	}
+	if len(tr.got) != samples {
+		tr.c.t.Errorf("delivered %d of %d samples", len(tr.got), samples)
+	}
+	for id, s := range tr.got {
+		if checkTags(s.Tokens, s.Segments) != nil {
+			tr.c.t.Errorf("sample %d is not tagged: %+v", id, s.Segments)
+		}
+	}
+}
+
+// held waits until the daemons hold n finished samples.
+func (c *cluster) held(n int) {
+	c.t.Helper()
+	waitFor(c.t, "samples generated", func() bool {
+		sum := 0
+		for _, d := range c.daemons {
+			sum += d.manager.runner.held()
+		}
+		return sum >= n
+	})
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
