daemon: status tells what it knows when a collector does not answer

Cause: between the loss of a collector and its replacement status failed as a whole. Change: members and alarms are told, documents_error names why the rest is unknown; the command prints both and exits with 1. Conclusion: a partial status is better than none.

--- a/cmd/hornbeamtide/status.go
+++ b/cmd/hornbeamtide/status.go
@@ -35,6 +35,9 @@
 	}
 	fmt.Fprintln(c.stdout)
 	printAlarms(c.stdout, status.RegionalAlarms)
+	if status.DocumentsError != "" {
+		return fault.New(fault.Unavailable, "it is not known where documents are in force: "+status.DocumentsError, "ask again in a few seconds, or another daemon")
+	}
 	return nil
 }
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
-	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
 )
 
@@ -15,7 +14,9 @@
 	State      State                 `json:"state"`
 	InProgress int                   `json:"in_progress"` // requests
 	Documents  []fleet.ServiceStatus `json:"documents"`
-	Members    []MemberStatus        `json:"members"`
+	// DocumentsError says why it is not known where documents are in force.
+	DocumentsError string         `json:"documents_error,omitempty"`
+	Members        []MemberStatus `json:"members"`
 	RegionalAlarms
 }
 
@@ -36,22 +37,25 @@
 // ownAlarmsOnly reports whether the query ?alarms=own spares the calls to all members.
 func ownAlarmsOnly(r *http.Request) bool { return r.URL.Query().Get("alarms") == "own" }
 
-// status collects the Status. An error of Documents leaves them empty.
-func (d *Daemon) status(r *http.Request) (Status, error) {
+// status collects the Status. What fails of it is named and the rest is told.
+func (d *Daemon) status(r *http.Request) Status {
 	state, progress := d.gate.current()
-	documents, err := d.modules.Admin.Status(r.Context())
-	alarms := RegionalAlarms{Alarms: d.ownAlarms(), Unanswered: []string{}}
-	if !ownAlarmsOnly(r) {
-		alarms = d.regionalAlarms(r.Context())
-	}
-	return Status{
+	status := Status{
 		Daemon:         d.settings.Daemon.ID,
 		State:          state,
 		InProgress:     progress,
-		Documents:      documents,
 		Members:        d.members(),
-		RegionalAlarms: alarms,
-	}, err
+		RegionalAlarms: RegionalAlarms{Alarms: d.ownAlarms(), Unanswered: []string{}},
+	}
+	documents, err := d.modules.Admin.Status(r.Context())
+	if err != nil {
+		status.DocumentsError = err.Error()
+	}
+	status.Documents = documents
+	if !ownAlarmsOnly(r) {
+		status.RegionalAlarms = d.regionalAlarms(r.Context())
+	}
+	return status
 }
 
 func (d *Daemon) members() []MemberStatus {
@@ -64,12 +68,7 @@
 }
 
 func (d *Daemon) getStatus(w http.ResponseWriter, r *http.Request) {
-	status, err := d.status(r)
-	if err != nil {
-		fault.WriteHTTP(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, status)
+	writeJSON(w, http.StatusOK, d.status(r))
 }
 
 // getAlarms answers with the alarms of this daemon, or of the region's daemons with
