fleet: a region that loses the others is tested, unlisted daemons are forgotten

Cause: the loss of the other regions had no test; a collector kept the last rows of daemons that were replaced for good. Change: tests cut the calls between two regions while the platform stays; what is kept of daemons that are no longer listed is dropped in each report interval. The cut test still passes without probes of silent daemons, since a failure domain without other candidates falls back to silent ones.

--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
 	"github.com/hornbeamtide/hornbeamtide/standin/silentproxy"
@@ -200,3 +202,58 @@
 		return err == nil && len(status[0].InForce) == 4
 	})
 }
+
+func TestRegionThatLosesTheOthersGoesOnWithItsOwn(t *testing.T) {
+	c := newCluster(t)
+	near := []*node{c.add("d1", "x"), c.add("d2", "x"), c.add("d3", "y")}
+	c.region = "far"
+	far := []*node{c.add("d4", "x"), c.add("d5", "y"), c.add("d6", "y")}
+	all := slices.Concat(near, far)
+	settled := func() bool {
+		for _, n := range all {
+			if !n.Ready() || len(n.Members()) != 3 {
+				return false
+			}
+		}
+		return true
+	}
+	inForceOn := func(n *node, daemons int) func() bool {
+		return func() bool {
+			status, err := n.Status(context.Background())
+			return err == nil && len(status) == 1 && len(status[0].InForce) == daemons
+		}
+	}
+	eventually(t, "three members in each region", settled)
+	version := apply(t, near[0], "svc one", 0)
+	eventually(t, "near status of six", inForceOn(near[0], 6))
+
+	c.cutRegions(true)
+	time.Sleep(2 * testMemberTimeout)
+	version = apply(t, near[0], "svc two", version)
+	eventually(t, "in force in both through the platform", func() bool { return everywhere(all, "svc", version) })
+	eventually(t, "near status knows of its own region", inForceOn(near[2], 3))
+	eventually(t, "far status knows of its own region", inForceOn(far[2], 3))
+	if !settled() {
+		t.Error("a region without the others lost members of its own")
+	}
+
+	c.cutRegions(false)
+	eventually(t, "status of six in both again", func() bool { return inForceOn(near[1], 6)() && inForceOn(far[1], 6)() })
+	eventually(t, "three members in each region", settled)
+}
+
+func TestCollectorForgetsDaemonsThatAreNoLongerListed(t *testing.T) {
+	m := poolOf("d1", "x", 0)
+	list := platform.InstanceSnapshot{Revision: 2, Instances: []platform.Instance{
+		{ID: "listed", Pool: platform.DaemonPool, Region: "r", FailureDomain: "x", State: platform.Live},
+	}}
+	m.offerList(list)
+	for _, id := range []string{"listed", "gone"} {
+		m.collector.peers[id] = &peerSummary{}
+		m.collector.last[id] = &fleetpb.Row{Member: id}
+	}
+	m.collector.forgetUnlisted()
+	if c := m.collector; c.peers["gone"] != nil || c.last["gone"] != nil || c.peers["listed"] == nil || c.last["listed"] == nil {
+		t.Errorf("kept peers %v and rows %v, want those of the listed daemon", c.peers, c.last)
+	}
+}
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
 )
 
 // observe marks the daemons that no collector hears as silent.
 func (c *collector) observe(ctx context.Context) {
 	for ctx.Err() == nil {
+		c.forgetUnlisted()
 		c.publishSilent(c.silentNow(time.Now()))
 		wait(ctx, c.manager.config.ReportInterval)
 	}
@@ -66,6 +68,18 @@
 	return silent
 }
 
+// forgetUnlisted drops what is kept of daemons that are gone for good.
+func (c *collector) forgetUnlisted() {
+	listed := map[string]bool{}
+	for _, member := range c.manager.current.Load().everyone {
+		listed[member.ID] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.peers, func(id string, p *peerSummary) bool { return !listed[id] && !c.fresh(p) })
+	maps.DeleteFunc(c.last, func(id string, _ *fleetpb.Row) bool { return !listed[id] })
+}
+
 // heard returns the daemons that a collector hears. The caller holds the lock.
 func (c *collector) heard() map[string]bool {
 	heard := map[string]bool{c.manager.config.Self.ID: true}
