--- a/standin/slopes/cost.go
+++ b/standin/slopes/cost.go
@@ -37,61 +37,77 @@
 	streamRate  = 50.0 // generate requests a second
 )
 
+// task is one measured piece of work. do returns the units done and the tokens generated.
+type task struct {
+	into *[]cost
+	do   func(ctx context.Context) (units, tokens float64, err error)
+}
+
 func (f *fleet) measureWork(ctx context.Context, idle []member) (*work, error) {
 	w := &work{}
 	client := caller.NewClient(f.addresses()...)
 	f.plainRequests(ctx, client, "warm", 100, time.Second, false)
-	for _, rate := range []float64{100, 300} {
-		c, err := f.spend(ctx, idle, func() (float64, float64, error) {
-			return float64(f.plainRequests(ctx, client, fmt.Sprintf("plain-%g", rate), rate, workWindow, false)), 0, nil
-		})
+	tasks := f.requestTasks(w, client)
+	tasks = append(tasks, f.streamTasks(w, client)...)
+	tasks = append(tasks, f.stepTasks(w)...)
+	for _, t := range tasks {
+		c, err := f.spend(ctx, idle, t.do)
 		if err != nil {
 			return nil, err
 		}
-		w.Plain = append(w.Plain, c)
+		*t.into = append(*t.into, c)
+	}
+	return w, nil
+}
+
+// requestTasks are plain requests and claimed ones.
+func (f *fleet) requestTasks(w *work, client *caller.Client) []task {
+	send := func(into *[]cost, run string, rate float64, claimed bool) task {
+		return task{into, func(ctx context.Context) (float64, float64, error) {
+			return float64(f.plainRequests(ctx, client, fmt.Sprintf("%s-%g", run, rate), rate, workWindow, claimed)), 0, nil
+		}}
 	}
+	return []task{
+		send(&w.Plain, "plain", 100, false),
+		send(&w.Plain, "plain", 300, false),
+		send(&w.Claims, "claim", 20, true),
+		send(&w.Claims, "claim", 100, true),
+		send(&w.Claims, "claim", 300, true),
+	}
+}
+
+func (f *fleet) streamTasks(w *work, client *caller.Client) []task {
+	var tasks []task
 	for _, tokens := range []int{16, 64, 256} {
-		c, err := f.spend(ctx, idle, func() (float64, float64, error) {
+		tasks = append(tasks, task{&w.Streams, func(ctx context.Context) (float64, float64, error) {
 			n, generated := f.streams(ctx, client, fmt.Sprintf("stream-%d", tokens), streamRate, workWindow, tokens)
 			return float64(n), float64(generated), nil
-		})
-		if err != nil {
-			return nil, err
-		}
-		w.Streams = append(w.Streams, c)
-	}
-	for _, rate := range []float64{20, 100, 300} {
-		c, err := f.spend(ctx, idle, func() (float64, float64, error) {
-			return float64(f.plainRequests(ctx, client, fmt.Sprintf("claim-%g", rate), rate, workWindow, true)), 0, nil
-		})
-		if err != nil {
-			return nil, err
-		}
-		w.Claims = append(w.Claims, c)
+		}})
 	}
+	return tasks
+}
+
+func (f *fleet) stepTasks(w *work) []task {
+	var tasks []task
 	for i, samples := range []int{64, 256, largestStep} {
-		c, err := f.spend(ctx, idle, func() (float64, float64, error) {
+		tasks = append(tasks, task{&w.Steps, func(ctx context.Context) (float64, float64, error) {
 			result, err := f.trainingStep(ctx, fmt.Sprintf("trainer-%d", i), int64(i+1), samples)
 			if err == nil && result.Broken() {
 				err = fmt.Errorf("step of %d samples: %+v", samples, result)
 			}
 			return float64(result.Delivered), float64(result.Tokens), err
-		})
-		if err != nil {
-			return nil, err
-		}
-		w.Steps = append(w.Steps, c)
+		}})
 	}
-	return w, nil
+	return tasks
 }
 
 // spend measures what the daemons spend on some work beside their idle rates.
-func (f *fleet) spend(ctx context.Context, idle []member, do func() (units, tokens float64, err error)) (cost, error) {
+func (f *fleet) spend(ctx context.Context, idle []member, do func(context.Context) (units, tokens float64, err error)) (cost, error) {
 	var c cost
 	var failure error
 	readings, elapsed, err := window(ctx, f.cluster, f.daemons, func() {
 		started := time.Now()
-		c.Units, c.Tokens, failure = do()
+		c.Units, c.Tokens, failure = do(ctx)
 		c.Took = time.Since(started).Seconds()
 	})
 	if err == nil {
