--- a/standin/slopes/analyze.go
+++ b/standin/slopes/analyze.go
@@ -24,7 +24,7 @@
 	PlatformWrites fit     `json:"platform_writes"`
 	Watches        fit     `json:"watches"`
 	PollBytes      float64 `json:"poll_bytes"`
-	PollRate       float64 `json:"poll_rate"`   // polls a second a replica
+	PollRate       float64 `json:"poll_rate"`   // polls a second a replica, by default
 	IdleMemory     float64 `json:"idle_memory"` // largest of any idle daemon
 
 	// A document change; regressor: members served by a collector.
@@ -133,18 +133,22 @@
 
 func (f *fitter) platform(r *Results, all []Measured) {
 	var reads, writes, watches []observation
-	n := float64(len(all))
+	n, usual := float64(len(all)), 0.0
 	for _, m := range all {
 		x := []float64{m.collectors()}
 		reads = append(reads, observation{x, m.PlatformReads})
 		writes = append(writes, observation{x, m.PlatformWrites})
 		watches = append(watches, observation{x, m.Watches})
 		r.PollBytes += m.PollBytes / n
-		r.PollRate += m.pollRate() / n
+		if m.Poll == 0 {
+			r.PollRate += m.pollRate()
+			usual++
+		}
 		for _, daemon := range m.idle {
 			r.IdleMemory = max(r.IdleMemory, daemon.Memory)
 		}
 	}
+	r.PollRate /= max(usual, 1)
 	r.PlatformReads, r.PlatformWrites, r.Watches = f.fit(reads), f.fit(writes), f.fit(watches)
 }
 
--- a/standin/slopes/fleet.go
+++ b/standin/slopes/fleet.go
@@ -26,6 +26,9 @@
 	// Processors is what the Go runtime of each daemon uses; zero for all of the machine.
 	// Such a fleet is shown for comparison and is left out of the lines.
 	Processors int `json:"processors"`
+	// Poll is the daemons' poll_interval; zero leaves their default. Another one tells
+	// the cost of polls apart from the rest.
+	Poll time.Duration `json:"poll_ns"`
 }
 
 const (
@@ -98,7 +101,7 @@
 	group.SetLimit(startAtOnce)
 	for i := range f.daemons {
 		group.Go(func() error {
-			daemon := cluster.Daemon{ID: fmt.Sprintf("daemon-%03d", i), Place: f.place(i), Settings: "[log]\nlevel = error\n"}
+			daemon := cluster.Daemon{ID: fmt.Sprintf("daemon-%03d", i), Place: f.place(i), Settings: f.layout.settings()}
 			var err error
 			f.daemons[i], err = f.cluster.StartDaemon(ctx, daemon)
 			return err
@@ -107,6 +110,15 @@
 	return group.Wait()
 }
 
+// settings returns further sections of a daemon's settings.
+func (l Layout) settings() string {
+	text := "[log]\nlevel = error\n"
+	if l.Poll > 0 {
+		text += fmt.Sprintf("[backends]\npoll_interval = %s\n", l.Poll)
+	}
+	return text
+}
+
 func (f *fleet) place(i int) cluster.Place {
 	return cluster.Place{Region: region, FailureDomain: fmt.Sprintf("domain-%d", i%f.layout.Domains)}
 }
--- a/standin/slopes/page.go
+++ b/standin/slopes/page.go
@@ -61,11 +61,11 @@
 
 func (p *page) fleets(r Results) {
 	p.line("## Measured fleets\n\nMeans of the daemons while nobody works; documents of one model and one plain service in force.\n")
-	p.head("daemons", "domains", "replicas", "processors", "member: core %", "KB/s", "MB", "collector: members", "core %", "KB/s", "MB",
+	p.head("daemons", "domains", "replicas", "processors", "poll interval", "member: core %", "KB/s", "MB", "collector: members", "core %", "KB/s", "MB",
 		"platform reads/s", "writes/s", "watches", "in force, slowest s", "weights wave s")
 	for _, m := range r.Layouts {
 		members, collectors := m.Member, m.Collector
-		p.row(num(float64(m.Daemons)), num(float64(m.Domains)), num(float64(m.Replicas)), m.processors(),
+		p.row(num(float64(m.Daemons)), num(float64(m.Domains)), num(float64(m.Replicas)), m.processors(), m.poll(),
 			num(100*members.CPU), num(members.Bytes/1e3), num(members.Memory/1e6),
 			num(collectors.Attendees), num(100*collectors.CPU), num(collectors.Bytes/1e3), num(collectors.Memory/1e6),
 			num(m.PlatformReads), num(m.PlatformWrites), num(m.Watches), num(largest(m.InForce)), num(largestSpread(m.Waves)))
@@ -149,6 +149,14 @@
 	return num(float64(l.Processors))
 }
 
+// poll names the daemons' poll interval.
+func (l Layout) poll() string {
+	if l.Poll == 0 {
+		return "default"
+	}
+	return l.Poll.String()
+}
+
 // num formats a figure with three significant digits.
 func num(x float64) string {
 	switch {
--- a/standin/slopes/slopes.go
+++ b/standin/slopes/slopes.go
@@ -35,7 +35,7 @@
 	{Daemons: 30, Domains: 1, Replicas: 24, Processors: smallInstance},
 	{Daemons: 30, Domains: 6, Replicas: 4, Processors: smallInstance},
 	{Daemons: 60, Domains: 2, Replicas: 12, Work: true, Processors: smallInstance},
-	{Daemons: 60, Domains: 1, Replicas: 24, Processors: smallInstance},
+	{Daemons: 60, Domains: 1, Replicas: 24, Processors: smallInstance, Poll: 250 * time.Millisecond},
 	{Daemons: 120, Domains: 6, Replicas: 4, Processors: smallInstance},
 	{Daemons: 120, Domains: 2, Replicas: 24, Processors: smallInstance},
 	{Daemons: 180, Domains: 6, Replicas: 12, Processors: smallInstance},
