--- a/weights/manager.go
+++ b/weights/manager.go
@@ -23,7 +23,7 @@
 	PollInterval       time.Duration // between two reads of the weight store by a keeper
 	Lease              time.Duration // validity of a keeper's lease
 	StageAtOnce        int           // replicas that load from the weight store at a time
-	DisableEarlyStage  bool          // stage each replica only when it is its turn to activate
+	DisableEarlyStage  bool          // activate each replica once it staged, not all in one wave
 	DisableSuspensions bool          // leave replicas with an incomplete swap in sample work
 }
 
