daemon: the settings of the README are the ones that a test reads

Cause: the test of the settings in docs/API.md failed since they stand in SETTINGS.md alone (generated from the schema, compared by a test of its own). Change: the same test with the same expectations reads the README's settings, which a newcomer copies and which no test read before. Figures: go test ./daemon passes.

--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -6,17 +6,17 @@
 	"testing"
 )
 
-func TestSettingsOfTheInterfacePageAreAccepted(t *testing.T) {
-	page, err := os.ReadFile("../docs/API.md")
+func TestSettingsOfTheReadmeAreAccepted(t *testing.T) {
+	page, err := os.ReadFile("../README.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, text, found := strings.Cut(string(page), "    [daemon]")
 	if !found {
-		t.Fatal("no settings in docs/API.md")
+		t.Fatal("no settings in README.md")
 	}
-	text, _, _ = strings.Cut("    [daemon]"+text, "\nThe platform's")
-	s, err := ParseSettings("API.md", []byte(strings.ReplaceAll(text, "\n    ", "\n")))
+	text, _, _ = strings.Cut("    [daemon]"+text, "\nThen check")
+	s, err := ParseSettings("README.md", []byte(strings.ReplaceAll(text, "\n    ", "\n")))
 	if err != nil {
 		t.Fatal(err)
 	}
