--- a/standin/cmd/standin/slopes.go
+++ b/standin/cmd/standin/slopes.go
@@ -14,11 +14,15 @@
 	Layouts  string `long:"layouts" description:"daemons/domains/replicas, a trailing w also measures work; several by commas; empty: the usual ones"`
 	Small    int    `long:"processors" description:"processors that each daemon of the given layouts uses" default:"2"`
 	Results  string `long:"results" description:"JSON file to write" default:"bench/results/slopes.json"`
+	Render   bool   `long:"render" description:"only write the page from the JSON file again"`
 	Page     string `long:"page" description:"page to write, empty for standard output" default:"docs/CAPACITY.md"`
 }
 
 // Execute implements flags.Commander.
 func (c *slopesCommand) Execute([]string) error {
+	if c.Render {
+		return slopes.Render(slopes.Options{Results: c.Results, Page: c.Page, Out: os.Stdout})
+	}
 	daemon, _, err := c.programs()
 	if err != nil {
 		return err
--- a/standin/slopes/rows.go
+++ b/standin/slopes/rows.go
@@ -22,8 +22,8 @@
 			state:     fmt.Sprintf("state of %s replicas", num(t.polled())),
 			platform:  "none",
 			mechanism: "subset of each pool; load in response headers first",
-			formula: fmt.Sprintf("polled = %s a pool × %s pools / %s regions = %s; bytes = polled × %s polls/s × %s B; processor time is in the member's line",
-				num(subset), num(targetPools), num(targetRegions), num(t.polled()), num(t.r.PollRate), num(t.r.PollBytes)),
+			formula: fmt.Sprintf("polled = %s a pool × %s pools / %s regions = %s; polls/s = polled × %s (idle, measured) + %s requests/s (a poll after each) = %s; bytes = polls/s × %s B; processor time is in the member's line",
+				num(subset), num(targetPools), num(targetRegions), num(t.polled()), num(t.r.PollRate), num(targetRequests/targetDaemons), num(t.pollRate()), num(t.r.PollBytes)),
 		},
 		{
 			name: "collector", count: num(t.collectors()), load: t.collector(),
@@ -53,10 +53,10 @@
 		{
 			name: "claim shard keeper", count: num(claimShards), load: t.keeper(),
 			state:     "keys of the retention time in the platform's objects, an index of them in memory",
-			platform:  fmt.Sprintf("%s writes/s, %s reads/s for all shards", num(t.claimWrites()), num(t.claims()*t.r.ClaimReads.Slopes[0])),
+			platform:  fmt.Sprintf("%s writes/s, %s reads/s for all shards", num(t.claimWrites()), num(t.claimReads())),
 			mechanism: "journal by create-if-absent, batches of claims",
-			formula: fmt.Sprintf("claims = %s × %s = %s/s, / %s shards; processor = (keyed − plain request) a claim; writes = %s a claim, measured at up to 300/s over 8 shards",
-				num(targetRequests), num(targetClaimRate), num(t.claims()), num(claimShards), num(t.r.ClaimWrites.Slopes[0])),
+			formula: fmt.Sprintf("claims = %s × %s = %s/s, / %s shards; processor = (keyed − plain request) a claim; writes = %s a claim, as measured at 20/s over 8 shards, a rate a shard like the target's (the line above is flatter, since busy shards batch)",
+				num(targetRequests), num(targetClaimRate), num(t.claims()), num(claimShards), num(t.claimWrites()/t.claims())),
 		},
 		{
 			name: "weights keeper", count: num(targetPools), load: t.weightsKeeper(),
@@ -125,8 +125,8 @@
 			"one collector a domain reads for both",
 		},
 		{
-			"weights on all replicas of a pool, from the first activation", t.r.WaveSpread.at(t.poolReplicas()), limitWave, "s",
-			fmt.Sprintf("first to last activation at %s replicas; staged before", num(t.poolReplicas())),
+			"weights on all replicas of a pool, from the first activation", t.wave(), limitWave, "s",
+			fmt.Sprintf("first to last activation, staged before: the line at %s replicas or the longest wave measured, whichever is more", num(t.poolReplicas())),
 			"the keeper hands the wave to more daemons",
 		},
 		{
@@ -172,5 +172,7 @@
 - Latency between failure domains: everything runs on loopback.
 - Real weights: staging takes 20 ms a replica at the stand-in store.
 - Bytes of platform calls and of HTTP to callers are not in the control figures; load polls are.
-- Memory of claims kept for their retention time at 64 shards.`)
+- Memory of claims kept for their retention time at 64 shards.
+- Streams with fewer than 8 tokens a chunk, which cost the router more a token.
+- Daemons at work and at rest at the same time: the rows are sums of separate measurements.`)
 }
--- a/standin/slopes/slopes.go
+++ b/standin/slopes/slopes.go
@@ -72,6 +72,19 @@
 	return errors.Join(failures...)
 }
 
+// Render writes the page of an earlier run's results again.
+func Render(options Options) error {
+	content, err := os.ReadFile(options.Results)
+	if err != nil {
+		return err
+	}
+	var results Results
+	if err := json.Unmarshal(content, &results); err != nil {
+		return err
+	}
+	return writePageTo(options, results)
+}
+
 func writePageTo(options Options, results Results) error {
 	if options.Page == "" {
 		return writePage(options.Out, results)
--- a/standin/slopes/target.go
+++ b/standin/slopes/target.go
@@ -62,8 +62,21 @@
 	return subset * targetPools / targetRegions
 }
 
-// pollRate is a daemon's load polls a second.
-func (t target) pollRate() float64 { return t.polled() * t.r.PollRate * t.pollFactor }
+// pollRate is a daemon's load polls a second: the idle rate, and one poll more for each
+// request, after the load in its response has aged.
+func (t target) pollRate() float64 {
+	return t.pollFactor * (t.polled()*t.r.PollRate + targetRequests/targetDaemons)
+}
+
+// wave is the time from the first activation to the last: the line, or the longest
+// wave measured if that is more.
+func (t target) wave() float64 {
+	longest := t.r.WaveSpread.at(t.poolReplicas())
+	for _, m := range t.r.Layouts {
+		longest = max(longest, largestSpread(m.Waves))
+	}
+	return longest
+}
 
 func (target) poolReplicas() float64 { return targetReplicas / targetPools }
 
@@ -165,13 +178,34 @@
 }
 
 func (t target) platformReads() float64 {
-	return t.r.PlatformReads.at(t.collectors()) + targetChanges/daySeconds*t.r.ChangeReads + t.claims()*t.r.ClaimReads.Slopes[0]
+	return t.r.PlatformReads.at(t.collectors()) + targetChanges/daySeconds*t.r.ChangeReads + t.claimReads()
 }
 
 // leaseWrites are the writes of the weights keepers' leases.
 func (t target) leaseWrites() float64 { return targetPools * t.r.PlatformWrites.at(t.collectors()) }
 
-func (t target) claimWrites() float64 { return t.claims() * t.r.ClaimWrites.Slopes[0] }
+// sparseClaims returns the platform writes and reads a claim at the lowest measured
+// rate, 20/s over 8 shards: at the target size a shard has as few claims to batch.
+func (t target) sparseClaims() (writes, reads float64) {
+	for _, m := range t.r.Layouts {
+		if m.Work == nil || len(m.Work.Claims) == 0 {
+			continue
+		}
+		c := m.Work.Claims[0]
+		writes, reads = max(writes, c.Writes/c.Units), max(reads, c.Reads/c.Units)
+	}
+	return writes, reads
+}
+
+func (t target) claimWrites() float64 {
+	writes, _ := t.sparseClaims()
+	return t.claims() * writes
+}
+
+func (t target) claimReads() float64 {
+	_, reads := t.sparseClaims()
+	return t.claims() * reads
+}
 
 func (t target) platformWrites() float64 {
 	return t.leaseWrites() + t.claimWrites() + targetChanges/daySeconds*t.r.ChangeWrites
@@ -180,5 +214,6 @@
 // claimShareLimit is the share of keyed non-idempotent requests at which the platform's
 // writes reach their limit.
 func (t target) claimShareLimit() float64 {
-	return (limitWrites - t.leaseWrites()) / t.r.ClaimWrites.Slopes[0] / targetRequests
+	writes, _ := t.sparseClaims()
+	return (limitWrites - t.leaseWrites()) / max(writes, 1e-9) / targetRequests
 }
