platform: an unchanged instance list is not sent again

Cause: a list of 1,130 instances is about 200 KB; collectors that read it in turns each second would spend 17 KB/s each on it (worked out, not measured), over the 24 KB/s of control together with the 11.6 KB/s of the capacity page. Ruled out: longer intervals (a leaving server is to be known within seconds); a watch of the list (the platform offers none).

--- a/standin/fakeplatform/instances.go
+++ b/standin/fakeplatform/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"time"
@@ -80,11 +81,17 @@
 	s.list.push()
 }
 
-func (s *Server) getInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) getInstances(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls.Instances++
 	snapshot := s.list.at(time.Duration(s.faults.ListLagMS) * time.Millisecond)
 	s.mu.Unlock()
+	etag := fmt.Sprintf("\"%d-%d\"", s.started.UnixNano(), snapshot.Revision)
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, snapshot)
 }
 
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -34,7 +34,8 @@
 
 // Server is the fake. All methods may be called at any time.
 type Server struct {
-	config Config
+	config  Config
+	started time.Time
 
 	mu        sync.Mutex
 	revision  int64
@@ -58,6 +59,7 @@
 	}
 	s := &Server{
 		config:  config,
+		started: time.Now(),
 		objects: map[string]platform.Object{},
 		changed: make(chan struct{}),
 		epoch:   newWatchEpoch(),
--- a/standin/silentproxy/proxy.go
+++ b/standin/silentproxy/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Proxy forwards connections to one target.
@@ -18,6 +19,8 @@
 	open     map[net.Conn]bool
 	accepted int
 	closed   bool
+
+	received atomic.Int64 // bytes from the target
 }
 
 // New starts a proxy to target on a free loopback port.
@@ -41,6 +44,9 @@
 	return p.accepted
 }
 
+// Received returns how many bytes of the target were forwarded so far.
+func (p *Proxy) Received() int64 { return p.received.Load() }
+
 // Silence makes the open connections silent for good. They are not closed, and what
 // is written to them is taken and lost.
 func (p *Proxy) Silence() {
@@ -82,8 +88,8 @@
 		return
 	}
 	var group sync.WaitGroup
-	group.Go(func() { forward(far, near, silent) })
-	group.Go(func() { forward(near, far, silent) })
+	group.Go(func() { forward(far, near, silent, new(atomic.Int64)) })
+	group.Go(func() { forward(near, far, silent, &p.received) })
 	group.Wait()
 }
 
@@ -102,8 +108,8 @@
 
 // forward copies until an end closes. Once silent is closed it reads on and drops
 // what it reads, and the close of one end no longer reaches the other.
-func forward(to, from net.Conn, silent <-chan struct{}) {
-	_, _ = io.Copy(&gate{to: to, silent: silent}, from)
+func forward(to, from net.Conn, silent <-chan struct{}, count *atomic.Int64) {
+	_, _ = io.Copy(&gate{to: to, silent: silent, count: count}, from)
 	select {
 	case <-silent:
 	default:
@@ -115,6 +121,7 @@
 type gate struct {
 	to     net.Conn
 	silent <-chan struct{}
+	count  *atomic.Int64 // bytes written
 }
 
 // Write implements io.Writer.
@@ -123,6 +130,7 @@
 	case <-g.silent:
 		return len(b), nil
 	default:
+		g.count.Add(int64(len(b)))
 		return g.to.Write(b)
 	}
 }
