rollout: a step that stays late is reported again; reading a document runs nothing

Cause: checkLate called Broken once, so the trainer_idle alarm cleared after clear_after (30 s) while the step was still late. A GET of an unknown document answered outcome unknown, though a read runs no request. Change: Broken again each 5 s while samples are missing; errors of Get are not run and name the document. Shown failing without the mechanism: TestStepThatStaysLateIsReportedAgain waits for the second report, which the old code never made (it returned once s.late was set). Conclusion: an alarm lasts as long as its cause.

--- a/fleet/admin.go
+++ b/fleet/admin.go
@@ -76,7 +76,8 @@
 		}
 	}
 	if err != nil {
-		return document.Versioned{}, err
+		return document.Versioned{}, fault.Wrap(err, fault.KindOf(err), "the document of "+service+" can't be read",
+			fault.RemedyOf(err), fault.WithOutcome(fault.NotRun))
 	}
 	m.touch()
 	parsed, err := m.config.Parse(service, object.Value)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+func TestStepThatStaysLateIsReportedAgain(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.doc.Samples.StepTime = 10 * time.Millisecond
+	release := make(chan struct{})
+	c.gen.setHook(func(_ context.Context, _ int, r dispatch.SampleRequest) (dispatch.Completion, error) {
+		<-release
+		return c.gen.whole(r, "e0", segmentOf(1)), nil
+	})
+	trainer := c.openTest(c.daemons[0], 1, 1, 2)
+	waitFor(t, "first report", func() bool { return len(c.recorder.brokenOnes()) == 1 })
+	for _, s := range c.daemons[0].manager.steps {
+		s.mu.Lock()
+		s.lateAt = s.lateAt.Add(-lateInterval)
+		s.mu.Unlock()
+	}
+	waitFor(t, "second report", func() bool { return len(c.recorder.brokenOnes()) == 2 })
+	close(release)
+	trainer.pullAll(c.daemons[0])
+	trainer.check(2)
+}
+
 func TestBusyRunnersLeaveGroupsToOthers(t *testing.T) {
 	c := newCluster(t, 3, func(config *Config) { config.GroupsInProgress = 1 })
 	release := make(chan struct{})
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -19,7 +19,8 @@
 	runSilence     = 4 * time.Second        // a runner sends at least a heartbeat within this
 	runBackoff     = 100 * time.Millisecond // before a failed group runs again, doubled each time
 	runBackoffMost = 2 * time.Second
-	runnerTries    = 8 // daemons asked to run a group
+	runnerTries    = 8               // daemons asked to run a group
+	lateInterval   = 5 * time.Second // between two reports that a step is still late
 )
 
 // schedule starts groups that have wanted samples until the step is forgotten.
@@ -57,9 +58,10 @@
 	return s.changed
 }
 
-// checkLate reports once that the step is not whole in time. The caller holds mu.
+// checkLate reports that the step is not whole in time, again at each lateInterval
+// while samples are missing. The caller holds mu.
 func (s *step) checkLate(doc *document.Document) {
-	if s.late || s.whole || s.age() <= doc.Samples.StepTime {
+	if s.whole || s.age() <= doc.Samples.StepTime || s.m.now().Sub(s.lateAt) < lateInterval {
 		return
 	}
 	missing := 0
@@ -71,7 +73,7 @@
 	if missing == 0 {
 		return
 	}
-	s.late = true
+	s.lateAt = s.m.now()
 	s.m.parts.Log.Log(event.RolloutStepLate, event.F("trainer", s.key.trainer), event.F("step", s.key.step), event.F("missing", missing))
 	s.m.parts.Recorder.Broken(alarm.TrainerIdle, alarm.Evidence{
 		Service: s.definition.Service,
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -31,7 +31,7 @@
 	runs     int             // groups in progress
 	version  int64           // newest version that the trainer named
 	whole    bool            // was whole once
-	late     bool            // was reported as late
+	lateAt   time.Time       // when it was last reported as late
 }
 
 // sampleState is one sample in the index.
@@ -303,7 +303,7 @@
 	s.whole = true
 	s.m.parts.Log.Log(event.RolloutStepWhole, event.F("trainer", s.key.trainer), event.F("step", s.key.step),
 		event.F("after", s.age().String()))
-	if !s.late {
+	if s.lateAt.IsZero() {
 		s.m.parts.Recorder.Kept(alarm.TrainerIdle, s.definition.Service)
 	}
 }
