--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/docpage"
 )
 
 const requiredSettings = `[daemon]
@@ -97,27 +98,11 @@
 var update = flag.Bool("update", false, "write the generated part of pages and the golden files")
 
 func TestSettingsPageEqualsSchema(t *testing.T) {
-	const path, begin, end = "../docs/SETTINGS.md", "-update -->\n\n", "<!-- end -->"
-	page, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	head, rest, ok := strings.Cut(string(page), begin)
-	got, tail, ok2 := strings.Cut(rest, end)
-	if !ok || !ok2 {
-		t.Fatal("the page has no generated part")
-	}
 	var want strings.Builder
 	for _, section := range SettingsSections() {
 		want.WriteString(section.Markdown())
 	}
-	if *update {
-		if err := os.WriteFile(path, []byte(head+begin+want.String()+end+tail), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if got != want.String() {
+	if got := docpage.Generated(t, "../docs/SETTINGS.md", want.String(), *update); got != want.String() {
 		t.Errorf("docs/SETTINGS.md differs from the schema; run go test ./daemon -run SettingsPage -update\ngot:\n%s\nwant:\n%s", got, want.String())
 	}
 }
--- a/event/catalogue_test.go
+++ b/event/catalogue_test.go
@@ -3,31 +3,17 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
+
+	"github.com/hornbeamtide/hornbeamtide/standin/docpage"
 )
 
 var update = flag.Bool("update", false, "write the generated part of the page")
 
 func TestEventsPageEqualsCatalogue(t *testing.T) {
-	const path, begin, end = "../docs/EVENTS.md", "-update -->\n\n", "\n<!-- end -->"
-	page, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	head, rest, ok := strings.Cut(string(page), begin)
-	got, tail, ok2 := strings.Cut(rest, end)
-	if !ok || !ok2 {
-		t.Fatal("the page has no generated part")
-	}
-	want := table()
-	if *update {
-		if err := os.WriteFile(path, []byte(head+begin+want+end+tail), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
+	want := table() + "\n"
+	got := docpage.Generated(t, "../docs/EVENTS.md", want, *update)
 	if got == want {
 		return
 	}
