standin/local: ready means that all members are known

Cause: one of three runs of make race failed in TestAlarmsAreShownWithEvidenceAndRemedy: d1 did not list d2 as a member yet, so its alarms command could not ask it. A daemon is ready once documents and instances are known, which may be before the first report of the others. Ruled out: a lost alarm (d2 recorded it; the output lacks d2 only). Change: System.WaitReady waits until each daemon lists all daemons of its region; the test's expectations are the same.

--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -51,6 +52,7 @@
 type Daemon struct {
 	*daemon.Daemon
 	ID     string
+	region string
 	stop   context.CancelFunc
 	ended  chan struct{}
 	result error // of Run, valid once ended is closed
@@ -187,7 +189,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	d := &Daemon{Daemon: built, ID: id, stop: stop, ended: make(chan struct{})}
+	d := &Daemon{Daemon: built, ID: id, region: place.Region, stop: stop, ended: make(chan struct{})}
 	s.list(id, platform.DaemonPool, built.Address(), built.PeerAddress(), place)
 	go func() {
 		defer close(d.ended)
@@ -209,13 +211,14 @@
 	return s.Platform.Put("documents/"+service, source).Version
 }
 
-// WaitReady waits until every daemon answers that it is ready.
+// WaitReady waits until every daemon answers that it is ready and knows all daemons of
+// its region as members.
 func (s *System) WaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, d := range s.Daemons {
 		for !s.ready(ctx, d) {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready after %s", d.ID, readyTimeout)
+				return fmt.Errorf("%s is not ready or does not know all members after %s", d.ID, readyTimeout)
 			}
 			time.Sleep(pollInterval)
 		}
@@ -224,16 +227,44 @@
 }
 
 func (s *System) ready(ctx context.Context, d *Daemon) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Address()+"/ready", nil)
-	if err != nil {
+	if s.get(ctx, d, "/ready", nil) != nil {
+		return false
+	}
+	var status daemon.Status
+	if s.get(ctx, d, "/v1/status?alarms=own", &status) != nil {
 		return false
 	}
+	return len(status.Members) >= s.inRegion(d.region)
+}
+
+func (s *System) inRegion(region string) int {
+	count := 0
+	for _, d := range s.Daemons {
+		if d.region == region {
+			count++
+		}
+	}
+	return count
+}
+
+// get reads JSON from a daemon into answer, which may be nil.
+func (s *System) get(ctx context.Context, d *Daemon, path string, answer any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Address()+path, nil)
+	if err != nil {
+		return err
+	}
 	response, err := s.client.Do(r)
 	if err != nil {
-		return false
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answers %s to %s", d.ID, response.Status, path)
+	}
+	if answer == nil {
+		return nil
 	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return json.NewDecoder(response.Body).Decode(answer)
 }
 
 // Addresses returns the HTTP addresses of all daemons.
