--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -76,13 +76,12 @@
 
 func rolloutConfig(s Settings) rollout.Config {
 	return rollout.Config{
-		GroupsInProgress:  s.Rollout.GroupsInProgress,
-		StepRetention:     stepRetention,
-		TokenInterval:     tokenInterval,
-		DisableHedging:    !s.Rollout.Hedging,
-		DisableCutStale:   !s.Rollout.CutStale,
-		DisableGroupOrder: !s.Rollout.GroupOrder,
-		DisableFreshness:  !s.Rollout.Freshness,
+		GroupsInProgress: s.Rollout.GroupsInProgress,
+		StepRetention:    stepRetention,
+		TokenInterval:    tokenInterval,
+		DisableHedging:   !s.Rollout.Hedging,
+		DisableCutStale:  !s.Rollout.CutStale,
+		DisableFreshness: !s.Rollout.Freshness,
 	}
 }
 
--- a/daemon/schema.go
+++ b/daemon/schema.go
@@ -139,7 +139,6 @@
 			inifile.Int("groups_in_progress", "groups", 64, 1, 10000, "Groups that this daemon runs at a time.", func(s *Settings) *int { return &s.Rollout.GroupsInProgress }),
 			inifile.Bool("hedging", true, "A sample that straggles may get a second attempt.", func(s *Settings) *bool { return &s.Rollout.Hedging }),
 			inifile.Bool("cut_stale", true, "Samples that are over the staleness bound already are cancelled.", func(s *Settings) *bool { return &s.Rollout.CutStale }),
-			inifile.Bool("group_order", true, "Groups run in the order that shortens the step.", func(s *Settings) *bool { return &s.Rollout.GroupOrder }),
 			inifile.Bool("freshness", true, "The preference for staleness takes effect.", func(s *Settings) *bool { return &s.Rollout.Freshness }),
 		},
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -96,7 +96,6 @@
 	GroupsInProgress int
 	Hedging          bool
 	CutStale         bool
-	GroupOrder       bool
 	Freshness        bool
 }
 
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -26,10 +26,9 @@
 	StepRetention    time.Duration // an idle step is forgotten after this
 	TokenInterval    time.Duration // between two stores of a trainer's newest token
 
-	DisableHedging    bool // no second attempts of stragglers
-	DisableCutStale   bool // samples that are over the bound already run to their end
-	DisableGroupOrder bool // groups run in the order of the step
-	DisableFreshness  bool // the staleness preference runs work as early as the idle time one
+	DisableHedging   bool // no second attempts of stragglers
+	DisableCutStale  bool // samples that are over the bound already run to their end
+	DisableFreshness bool // the staleness preference runs work as early as the idle time one
 }
 
 // Parts are what a Manager works with.
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -48,7 +48,7 @@
 	}
 	s.dropStale()
 	s.checkLate(doc)
-	for _, group := range s.order(doc, s.runnable()) {
+	for _, group := range s.runnable() {
 		if s.runs >= s.runLimit(doc) {
 			break
 		}
--- a/standin/bench/workload.go
+++ b/standin/bench/workload.go
@@ -61,14 +61,13 @@
 	{Name: "least_load", Settings: baseline("least_load")},
 	{Name: "no_hedging", Settings: lever("hedging")},
 	{Name: "no_cut_stale", Settings: lever("cut_stale")},
-	{Name: "no_group_order", Settings: lever("group_order")},
 	{Name: "no_freshness", Settings: lever("freshness")},
 }
 
 // baseline is a simple policy with all levers off.
 func baseline(policy string) string {
 	return "[backends]\npolicy = " + policy +
-		"\n\n[rollout]\nhedging = no\ncut_stale = no\ngroup_order = no\nfreshness = no\n"
+		"\n\n[rollout]\nhedging = no\ncut_stale = no\nfreshness = no\n"
 }
 
 func lever(name string) string { return "[rollout]\n" + name + " = no\n" }
