claims, weights: names that needed explaining

Change: maintainTimeout and batchTimeout in claims (they are times, not sizes or limits); keeper.permit and keeper.wakeNow in weights. No behaviour changes.

--- a/claims/shard.go
+++ b/claims/shard.go
@@ -12,12 +12,12 @@
 
 // Limits of a shard's work.
 const (
-	maxBatch      = 256                    // claims in one entry
-	maxRounds     = 8                      // appends of a batch that lost against other keepers
-	batchLimit    = 4 * time.Second        // one batch, its rounds included
-	busyGap       = 200 * time.Millisecond // appends closer than this make a shard busy
-	busyWait      = 50 * time.Millisecond  // longest wait of a claim in a busy shard
-	maintainLimit = 5 * time.Second        // compaction and sweeping after a batch
+	maxBatch        = 256                    // claims in one entry
+	maxRounds       = 8                      // appends of a batch that lost against other keepers
+	batchTimeout    = 4 * time.Second        // one batch, its rounds included
+	busyGap         = 200 * time.Millisecond // appends closer than this make a shard busy
+	busyWait        = 50 * time.Millisecond  // longest wait of a claim in a busy shard
+	maintainTimeout = 5 * time.Second        // compaction and sweeping after a batch
 )
 
 // shard grants the claims of one shard, a batch at a time. A goroutine runs while
@@ -103,7 +103,7 @@
 
 // grantBatch answers every claim of the batch.
 func (s *shard) grantBatch(batch []*pending) {
-	ctx, cancel := context.WithTimeout(s.manager.background, batchLimit)
+	ctx, cancel := context.WithTimeout(s.manager.background, batchTimeout)
 	defer cancel()
 	for round := 0; round < maxRounds && len(batch) > 0; round++ {
 		if err := s.load(ctx); err != nil {
@@ -219,7 +219,7 @@
 		return
 	}
 	m := s.manager
-	ctx, cancel := context.WithTimeout(m.background, maintainLimit)
+	ctx, cancel := context.WithTimeout(m.background, maintainTimeout)
 	defer cancel()
 	if len(s.ledger.entries) >= compactEntries {
 		err := s.ledger.compact(ctx, s.journal, m.view.Self().ID, m.now(), m.config.Retention)
--- a/weights/hint.go
+++ b/weights/hint.go
@@ -41,8 +41,8 @@
 	if k == nil {
 		return
 	}
-	if _, left := k.may(); left > 0 {
-		k.hurry()
+	if _, left := k.permit(); left > 0 {
+		k.wakeNow()
 		return
 	}
 	go m.passHint(k, version)
@@ -70,8 +70,8 @@
 	if k == nil || version <= m.Newest(pool) {
 		return
 	}
-	if _, left := k.may(); left > 0 && m.hints.allow(pool, m.now()) {
-		k.hurry()
+	if _, left := k.permit(); left > 0 && m.hints.allow(pool, m.now()) {
+		k.wakeNow()
 	}
 }
 
--- a/weights/keeper.go
+++ b/weights/keeper.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// hurry has the next round begin at once.
-func (k *keeper) hurry() {
+// wakeNow has the next round begin at once.
+func (k *keeper) wakeNow() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -151,7 +151,7 @@
 
 // poll does one round: as keeper of the pool or as one who asks the keeper.
 func (k *keeper) poll(ctx context.Context) {
-	if _, left := k.may(); left <= 0 {
+	if _, left := k.permit(); left <= 0 {
 		k.askNews(ctx)
 		return
 	}
@@ -163,10 +163,10 @@
 	k.bring(ctx, version)
 }
 
-// may is the permit for orders of this keeper. On engines that check fencing numbers
+// permit is the right of this keeper to send orders. On engines that check fencing numbers
 // the latest holder goes on after its lease ran out, until a newer one is known or an
 // engine refuses its number: that carries new weights through an outage of the object API.
-func (k *keeper) may() (fence int64, left time.Duration) {
+func (k *keeper) permit() (fence int64, left time.Duration) {
 	fence, left = k.lease.remaining()
 	if left <= 0 && k.checksFencing.Load() && !k.lease.superseded() {
 		return fence, endless
@@ -298,7 +298,7 @@
 func (k *keeper) stageOne(ctx context.Context, t *weightspb.Target, version int64) {
 	stageCtx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	err := k.m.stageTarget(stageCtx, t, version, k.may)
+	err := k.m.stageTarget(stageCtx, t, version, k.permit)
 	k.mu.Lock()
 	delete(k.staging, t.Replica)
 	k.mu.Unlock()
@@ -307,7 +307,7 @@
 		return
 	}
 	if err == nil {
-		k.hurry()
+		k.wakeNow()
 	}
 }
 
--- a/weights/share.go
+++ b/weights/share.go
@@ -108,13 +108,13 @@
 		if reply, err := m.activateMember(ctx, k, s, version); err == nil {
 			return reply
 		}
-		return m.activateShare(ctx, s.targets, version, k.may)
+		return m.activateShare(ctx, s.targets, version, k.permit)
 	})
 }
 
 func (m *Manager) activateMember(ctx context.Context, k *keeper, s share, version int64) (*weightspb.SurveyReply, error) {
 	if s.member.ID == m.parts.View.Self().ID {
-		return m.activateShare(ctx, s.targets, version, k.may), nil
+		return m.activateShare(ctx, s.targets, version, k.permit), nil
 	}
 	prepareCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fence, left := k.may()
+	fence, left := k.permit()
 	return whole(client.Activate(peer.WithProgress(ctx, waveTimeout), &weightspb.ActivateRequest{
 		Ticket:        ticket.Ticket,
 		Pool:          k.pool,
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -150,7 +150,7 @@
 	if refused := get(e, func() int { return e.refused }); refused != 1 {
 		t.Errorf("the engine refused %d orders", refused)
 	}
-	if _, left := first.may(); left > 0 {
+	if _, left := first.permit(); left > 0 {
 		t.Error("the woken holder did not step down")
 	}
 }
@@ -163,7 +163,7 @@
 	e := w.engines[0]
 	second.m.activateAll(context.Background(), second, targetsOf(w.daemonReplicas()), 3)
 	first.m.activateAll(context.Background(), first, targetsOf(w.daemonReplicas()), 2)
-	_ = first.m.stageTarget(context.Background(), targetsOf(w.daemonReplicas())[0], 2, first.may)
+	_ = first.m.stageTarget(context.Background(), targetsOf(w.daemonReplicas())[0], 2, first.permit)
 	if version := get(e, func() int64 { return e.version }); version != 3 {
 		t.Errorf("the woken holder activated version %d", version)
 	}
@@ -179,7 +179,7 @@
 	s := &service{m: w.add("d1").manager}
 	s.m.now = c.read
 	prepared, _ := s.Prepare(context.Background(), nil)
-	fence, left := k.may()
+	fence, left := k.permit()
 	c.advance(left)
 	reply, err := s.Activate(context.Background(), &weightspb.ActivateRequest{
 		Ticket: prepared.Ticket, Pool: testPool, Version: 2, Fence: fence, RemainingMs: left.Milliseconds(), Targets: targetsOf(w.daemonReplicas()),
@@ -233,9 +233,9 @@
 	w.engines[0].hold = func() { close(entered); <-release }
 	target := targetsOf(w.daemonReplicas())[0]
 	done := make(chan error)
-	go func() { done <- k.m.stageTarget(context.Background(), target, 2, k.may) }()
+	go func() { done <- k.m.stageTarget(context.Background(), target, 2, k.permit) }()
 	<-entered
-	if err := k.m.stageTarget(context.Background(), target, 2, k.may); !fault.Is(err, fault.Overloaded) || fault.OutcomeOf(err) != fault.NotRun {
+	if err := k.m.stageTarget(context.Background(), target, 2, k.permit); !fault.Is(err, fault.Overloaded) || fault.OutcomeOf(err) != fault.NotRun {
 		t.Errorf("second order: %v", err)
 	}
 	close(release)
