--- a/weights/order.go
+++ b/weights/order.go
@@ -49,12 +49,12 @@
 
 // sendOrder sends one order to the server at address. The permit is checked as the
 // last step before the send.
-func (m *Manager) sendOrder(ctx context.Context, address string, version int64, may permit, send engineOrder) error {
+func (m *Manager) sendOrder(ctx context.Context, address string, version int64, remaining permit, send engineOrder) error {
 	if !m.orders.acquire(address) {
 		return fault.New(fault.Overloaded, "an order to "+address+" is in progress", "retry after it ended", fault.WithOutcome(fault.NotRun))
 	}
 	defer m.orders.release(address)
-	fence, left := may()
+	fence, left := remaining()
 	if left <= 0 {
 		m.counters.refused.Add(1)
 		return fault.New(fault.Fenced, "the weights lease ran out before the order was sent", "the next lease holder sends it", fault.WithOutcome(fault.NotRun))
@@ -65,11 +65,11 @@
 }
 
 // activateTarget activates version on one replica and reads it back.
-func (m *Manager) activateTarget(ctx context.Context, t *weightspb.Target, version int64, may permit) *weightspb.ReplicaReport {
+func (m *Manager) activateTarget(ctx context.Context, t *weightspb.Target, version int64, remaining permit) *weightspb.ReplicaReport {
 	engine := m.parts.Backends.Engine(t.Address)
 	orderCtx, cancel := context.WithTimeout(ctx, activateTimeout)
 	defer cancel()
-	err := m.sendOrder(orderCtx, t.Address, version, may, engine.Activate)
+	err := m.sendOrder(orderCtx, t.Address, version, remaining, engine.Activate)
 	report := m.readTarget(ctx, t)
 	if err != nil {
 		report.Error = err.Error()
@@ -103,9 +103,9 @@
 }
 
 // stageTarget stages version on one replica.
-func (m *Manager) stageTarget(ctx context.Context, t *weightspb.Target, version int64, may permit) error {
+func (m *Manager) stageTarget(ctx context.Context, t *weightspb.Target, version int64, remaining permit) error {
 	engine := m.parts.Backends.Engine(t.Address)
-	err := m.sendOrder(ctx, t.Address, version, may, engine.Stage)
+	err := m.sendOrder(ctx, t.Address, version, remaining, engine.Stage)
 	if err != nil {
 		m.parts.Log.Log(event.WeightsStageFailed, event.F("replica", t.Replica), event.F("version", version), event.Err(err))
 		return err
--- a/weights/service.go
+++ b/weights/service.go
@@ -80,13 +80,13 @@
 		return nil, fault.New(fault.Fenced, "the ticket is not known", "prepare again", fault.WithOutcome(fault.NotRun))
 	}
 	until := opened.Add(time.Duration(r.RemainingMs) * time.Millisecond)
-	may := func() (int64, time.Duration) {
+	remaining := func() (int64, time.Duration) {
 		if r.ChecksFencing {
 			return r.Fence, endless
 		}
 		return r.Fence, until.Sub(s.m.now())
 	}
-	return s.m.activateShare(ctx, r.Targets, r.Version, may), nil
+	return s.m.activateShare(ctx, r.Targets, r.Version, remaining), nil
 }
 
 // Survey reads a share of the replicas.
@@ -111,9 +111,9 @@
 	m.parts.Gate.Suspend(replica, least)
 }
 
-func (m *Manager) activateShare(ctx context.Context, targets []*weightspb.Target, version int64, may permit) *weightspb.SurveyReply {
+func (m *Manager) activateShare(ctx context.Context, targets []*weightspb.Target, version int64, remaining permit) *weightspb.SurveyReply {
 	return eachTarget(targets, func(t *weightspb.Target) *weightspb.ReplicaReport {
-		return m.activateTarget(ctx, t, version, may)
+		return m.activateTarget(ctx, t, version, remaining)
 	})
 }
 
