platform: one client, for the published protocol of the users' store

Cause: the users' store speaks objects by kind and name with revisions and long-polled watches; the client spoke an invented protocol, so nothing could run there. Change: the neutral types move to module objectapi; platform.Client speaks the published calls; the instance list is read from the replicas' entries and the daemons' own; entries of operators and replicas are decoded into the new module catalog; connections notice silence by keep-alive probes. The stand-in platform speaks the same protocol. Tests: watches report an outage at the first Next, not when they open, so the contract tests ask there; an instance without an address names no instance; the bound of reads of a lonely daemon counts three kinds (documents, replicas, members) where it counted two calls. Ruled out: keeping both clients, since two would have to be proved.

--- a/claims/compact.go
+++ b/claims/compact.go
@@ -10,13 +10,13 @@
 	"strings"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // Limits of compaction.
 const (
 	compactEntries   = 64   // entries that start a compaction
-	maxSegmentGrants = 2000 // keeps a segment below platform.MaxValueBytes
+	maxSegmentGrants = 2000 // keeps a segment below objectapi.MaxValueBytes
 	deletesAtOnce    = 4    // deletions after one batch of claims
 )
 
@@ -30,7 +30,7 @@
 			next.Segments = append(next.Segments, ref)
 		}
 	}
-	var added []platform.Object
+	var added []objectapi.Object
 	if len(grants) > 0 {
 		ref, object, err := j.createSegment(ctx, last, entry{Writer: writer, Nonce: rand.Uint64(), Grants: grants})
 		if err != nil {
@@ -69,16 +69,16 @@
 	return last, grants
 }
 
-func (j journal) createSegment(ctx context.Context, last int64, segment entry) (segmentRef, platform.Object, error) {
+func (j journal) createSegment(ctx context.Context, last int64, segment entry) (segmentRef, objectapi.Object, error) {
 	ref := segmentRef{Name: fmt.Sprintf("%s%0*d-%016x", segmentPrefix, sequenceDigits, last, segment.Nonce)}
 	for _, g := range segment.Grants {
 		ref.Newest = max(ref.Newest, g.At)
 	}
 	value, err := json.Marshal(segment)
 	if err != nil {
-		return ref, platform.Object{}, err
+		return ref, objectapi.Object{}, err
 	}
-	object, err := platform.CreateSettled(ctx, j.store, j.prefix+ref.Name, value)
+	object, err := objectapi.CreateSettled(ctx, j.store, j.prefix+ref.Name, value)
 	object.Value = nil
 	return ref, object, err
 }
@@ -94,7 +94,7 @@
 }
 
 // compacted takes the new head in and collects what it does not need any more.
-func (l *ledger) compacted(j journal, h head, version int64, added []platform.Object) {
+func (l *ledger) compacted(j journal, h head, version int64, added []objectapi.Object) {
 	l.head, l.headVersion = h, version
 	l.entries = slices.DeleteFunc(l.entries, func(e stored) bool {
 		if e.sequence > h.Through {
@@ -103,7 +103,7 @@
 		l.garbage = append(l.garbage, e.object)
 		return true
 	})
-	l.segments = slices.DeleteFunc(append(l.segments, added...), func(object platform.Object) bool {
+	l.segments = slices.DeleteFunc(append(l.segments, added...), func(object objectapi.Object) bool {
 		if h.names(strings.TrimPrefix(object.Key, j.prefix)) {
 			return false
 		}
--- a/claims/journal.go
+++ b/claims/journal.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // The journal of a shard is a sequence of entries, each an object that is created
@@ -58,11 +58,11 @@
 
 // journal reads and writes the objects of one shard.
 type journal struct {
-	store  platform.ObjectStore
+	store  objectapi.ObjectStore
 	prefix string // ends with "/"
 }
 
-func newJournal(store platform.ObjectStore, service string, shard int) journal {
+func newJournal(store objectapi.ObjectStore, service string, shard int) journal {
 	return journal{store: store, prefix: path.Join(journalRoot, service, strconv.Itoa(shard)) + "/"}
 }
 
@@ -84,21 +84,21 @@
 
 // append creates entry number sequence. It returns fault.Conflict when the entry
 // exists or the head covers it, that is when the caller's state is old.
-func (j journal) append(ctx context.Context, sequence int64, e entry) (platform.Object, error) {
+func (j journal) append(ctx context.Context, sequence int64, e entry) (objectapi.Object, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
-	object, err := platform.CreateSettled(ctx, j.store, j.entryKey(sequence), value)
+	object, err := objectapi.CreateSettled(ctx, j.store, j.entryKey(sequence), value)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	current, _, err := j.readHead(ctx)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	if current.Through >= sequence {
-		return platform.Object{}, fault.New(fault.Conflict, "the journal was compacted beyond "+j.entryKey(sequence), "load the shard again")
+		return objectapi.Object{}, fault.New(fault.Conflict, "the journal was compacted beyond "+j.entryKey(sequence), "load the shard again")
 	}
 	return object, nil
 }
@@ -118,18 +118,18 @@
 }
 
 // writeHead replaces the head at the given version, zero for none.
-func (j journal) writeHead(ctx context.Context, h head, version int64) (platform.Object, error) {
+func (j journal) writeHead(ctx context.Context, h head, version int64) (objectapi.Object, error) {
 	value, err := json.Marshal(h)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	if version == 0 {
-		return platform.CreateSettled(ctx, j.store, j.headKey(), value)
+		return objectapi.CreateSettled(ctx, j.store, j.headKey(), value)
 	}
-	return platform.UpdateSettled(ctx, j.store, j.headKey(), value, version)
+	return objectapi.UpdateSettled(ctx, j.store, j.headKey(), value, version)
 }
 
-func decode(object platform.Object, into any) error {
+func decode(object objectapi.Object, into any) error {
 	if err := json.Unmarshal(object.Value, into); err != nil {
 		return fault.Wrap(err, fault.Internal, "decode "+object.Key, "restore the object or remove the shard's journal")
 	}
--- a/claims/keeper.go
+++ b/claims/keeper.go
@@ -14,8 +14,8 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
 // Defaults and limits of a Manager.
@@ -47,7 +47,7 @@
 type Manager struct {
 	config Config
 	view   fleet.View
-	store  platform.ObjectStore
+	store  objectapi.ObjectStore
 	conns  peer.Conns
 	log    *event.Logger
 	now    func() time.Time
@@ -65,7 +65,7 @@
 }
 
 // NewManager returns a Manager. Register and Run start it.
-func NewManager(config Config, view fleet.View, store platform.ObjectStore, conns peer.Conns, log *event.Logger) *Manager {
+func NewManager(config Config, view fleet.View, store objectapi.ObjectStore, conns peer.Conns, log *event.Logger) *Manager {
 	if config.Shards <= 0 {
 		config.Shards = defaultShards
 	}
--- a/claims/layout.go
+++ b/claims/layout.go
@@ -6,7 +6,7 @@
 	"path"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 const layoutName = "layout"
@@ -56,13 +56,13 @@
 }
 
 // createLayout returns the layout that exists afterwards, whoever wrote it.
-func (m *Manager) createLayout(ctx context.Context, key string) (platform.Object, error) {
+func (m *Manager) createLayout(ctx context.Context, key string) (objectapi.Object, error) {
 	value, err := json.Marshal(layout{Shards: m.config.Shards, Writer: m.view.Self().ID})
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	if _, err := m.store.Create(ctx, key, value); err != nil && !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Ambiguous) {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	return m.store.Get(ctx, key)
 }
--- a/claims/ledger.go
+++ b/claims/ledger.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // clockSkew is allowed for between the daemons that write a journal.
@@ -18,9 +18,9 @@
 	next        int64             // number of the next entry
 	head        head
 	headVersion int64
-	entries     []stored          // not merged yet, in order
-	segments    []platform.Object // named by the head, without values
-	garbage     []platform.Object // merged entries and unused segments, without values
+	entries     []stored           // not merged yet, in order
+	segments    []objectapi.Object // named by the head, without values
+	garbage     []objectapi.Object // merged entries and unused segments, without values
 }
 
 // record is a grant and the entry that holds it.
@@ -32,7 +32,7 @@
 // stored is an entry's object.
 type stored struct {
 	sequence int64
-	object   platform.Object // without its value
+	object   objectapi.Object // without its value
 }
 
 // loadLedger reads the whole journal at one revision.
@@ -58,7 +58,7 @@
 	return l, l.loadEntries(j, snapshot.Objects)
 }
 
-func (l *ledger) loadSegments(j journal, objects []platform.Object) error {
+func (l *ledger) loadSegments(j journal, objects []objectapi.Object) error {
 	found := 0
 	for _, object := range objects {
 		name, ok := strings.CutPrefix(object.Key, j.prefix)
@@ -86,7 +86,7 @@
 
 // addUnused collects a segment that no head names and none can name later: whoever
 // wrote it held a head that is not the current one any more.
-func (l *ledger) addUnused(object platform.Object, name string) {
+func (l *ledger) addUnused(object objectapi.Object, name string) {
 	last, ok := segmentLast(name)
 	if !ok || last > l.head.Through {
 		return
@@ -104,7 +104,7 @@
 	return false
 }
 
-func (l *ledger) loadEntries(j journal, objects []platform.Object) error {
+func (l *ledger) loadEntries(j journal, objects []objectapi.Object) error {
 	for _, object := range objects {
 		sequence, ok := j.sequenceOf(object.Key)
 		switch {
@@ -124,7 +124,7 @@
 }
 
 // replay takes entry number next in.
-func (l *ledger) replay(object platform.Object) error {
+func (l *ledger) replay(object objectapi.Object) error {
 	var e entry
 	if err := decode(object, &e); err != nil {
 		return err
@@ -134,7 +134,7 @@
 }
 
 // appended records the grants of entry number next.
-func (l *ledger) appended(object platform.Object, grants []grant) {
+func (l *ledger) appended(object objectapi.Object, grants []grant) {
 	object.Value = nil
 	l.take(grants, l.next)
 	l.entries = append(l.entries, stored{sequence: l.next, object: object})
--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -20,6 +20,7 @@
 		Progress:      s.Platform.Progress,
 		ReadRate:      s.Platform.ReadRate,
 		WriteRate:     s.Platform.WriteRate,
+		Region:        s.Daemon.Region,
 	}
 }
 
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamtide/hornbeamtide/dispatch"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/rollout"
@@ -108,7 +109,7 @@
 		provide(func() alarm.Config { return alarm.Config{ClearAfter: s.Alarms.ClearAfter} }),
 
 		provide(platform.NewClient),
-		provideAs[platform.Client](new(platform.ObjectStore), new(platform.InstanceList), new(platform.WeightStore)),
+		provideAs[platform.Client](new(objectapi.ObjectStore), new(objectapi.InstanceList), new(objectapi.WeightStore)),
 		provide(peer.NewPool),
 		provideAs[peer.Pool](new(peer.Conns)),
 		provide(peer.NewServer),
@@ -167,8 +168,8 @@
 
 	View     fleet.View
 	Docs     fleet.Documents
-	Store    platform.ObjectStore
-	Weights  platform.WeightStore
+	Store    objectapi.ObjectStore
+	Weights  objectapi.WeightStore
 	Backends backend.Dialer
 	Gate     weights.ReplicaGate
 	Conns    peer.Conns
@@ -189,7 +190,7 @@
 	Docs      fleet.Documents
 	Generator dispatch.Generator
 	Versions  weights.Versions
-	Store     platform.ObjectStore
+	Store     objectapi.ObjectStore
 	Conns     peer.Conns
 	Recorder  alarm.Recorder
 	Log       *event.Logger
--- a/fleet/admin.go
+++ b/fleet/admin.go
@@ -8,7 +8,7 @@
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // applyTimeout bounds the settling of a change whose answer was lost.
@@ -32,11 +32,11 @@
 	return document.Versioned{Document: parsed, Version: object.Version, Source: source}, nil
 }
 
-func (m *Manager) writeDocument(ctx context.Context, key string, source []byte, version int64) (platform.Object, error) {
+func (m *Manager) writeDocument(ctx context.Context, key string, source []byte, version int64) (objectapi.Object, error) {
 	if version == 0 {
-		return platform.CreateSettled(ctx, m.store, key, source)
+		return objectapi.CreateSettled(ctx, m.store, key, source)
 	}
-	return platform.UpdateSettled(ctx, m.store, key, source, version)
+	return objectapi.UpdateSettled(ctx, m.store, key, source, version)
 }
 
 // refusal says what became of a change whose write failed.
--- a/fleet/attendance.go
+++ b/fleet/attendance.go
@@ -9,7 +9,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // messageGap is the least time between two messages on a stream, so that changes
@@ -107,7 +107,7 @@
 
 // receive applies updates until the stream ends. List changes start from list, which
 // the first report named.
-func (a *attendance) receive(stream fleetpb.DRPCFleet_AttendClient, collector Member, list platform.InstanceSnapshot) error {
+func (a *attendance) receive(stream fleetpb.DRPCFleet_AttendClient, collector Member, list objectapi.InstanceSnapshot) error {
 	for {
 		update, err := stream.Recv()
 		if err != nil {
--- a/fleet/collector.go
+++ b/fleet/collector.go
@@ -7,7 +7,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // staleListFactor is after how many list intervals without news of the list a
@@ -106,7 +106,7 @@
 }
 
 // consume applies the changes of one watch and returns the last store revision.
-func (c *collector) consume(ctx context.Context, w platform.Watch, after int64) int64 {
+func (c *collector) consume(ctx context.Context, w objectapi.Watch, after int64) int64 {
 	m := c.manager
 	for {
 		change, err := w.Next(ctx)
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // recentLists is how many older instance lists are kept, so that a daemon that has
@@ -10,7 +10,7 @@
 const recentLists = 16
 
 // offerList applies a list unless it is older than the known one.
-func (m *Manager) offerList(snapshot platform.InstanceSnapshot) {
+func (m *Manager) offerList(snapshot objectapi.InstanceSnapshot) {
 	m.update(func(r *roster) bool {
 		if r.known && snapshot.Revision <= r.list.Revision {
 			return false
@@ -28,14 +28,14 @@
 }
 
 // listSnapshot returns the known list and whether there is one.
-func (m *Manager) listSnapshot() (platform.InstanceSnapshot, bool) {
+func (m *Manager) listSnapshot() (objectapi.InstanceSnapshot, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.roster.list, m.roster.known
 }
 
 // listAt returns the known list of a revision and whether it is still kept.
-func (m *Manager) listAt(revision int64) (platform.InstanceSnapshot, bool) {
+func (m *Manager) listAt(revision int64) (objectapi.InstanceSnapshot, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.roster.known && m.roster.list.Revision == revision {
@@ -46,7 +46,7 @@
 			return list, true
 		}
 	}
-	return platform.InstanceSnapshot{}, false
+	return objectapi.InstanceSnapshot{}, false
 }
 
 // listSince returns what turns the list of a revision into the known one; nil if that
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -12,8 +12,8 @@
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
 // Config configures a Manager. Zero durations and counts take the defaults of
@@ -64,8 +64,8 @@
 // Manager implements View, Documents and Admin.
 type Manager struct {
 	config Config
-	store  platform.ObjectStore
-	list   platform.InstanceList
+	store  objectapi.ObjectStore
+	list   objectapi.InstanceList
 	conns  peer.Conns
 	log    *event.Logger
 
@@ -85,7 +85,7 @@
 }
 
 // NewManager returns a Manager that knows nothing but itself until Run.
-func NewManager(config Config, store platform.ObjectStore, list platform.InstanceList, conns peer.Conns, log *event.Logger) *Manager {
+func NewManager(config Config, store objectapi.ObjectStore, list objectapi.InstanceList, conns peer.Conns, log *event.Logger) *Manager {
 	config = config.withDefaults()
 	m := &Manager{
 		config: config, store: store, list: list, conns: conns, log: log,
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // defaultSubsetSize is how many servers of a pool one daemon talks to.
@@ -26,13 +26,13 @@
 	self       Member
 	subsetSize int
 
-	list    platform.InstanceSnapshot
-	recent  []platform.InstanceSnapshot // lists before that, ordered by revision
-	known   bool                        // a list was received
-	marks   map[string]time.Time        // leaving instances: when one was last observed
-	pushed  map[string]bool             // leaving instances that the collector told
-	silent  map[string]bool             // daemons that no collector hears
-	drained bool                        // Self takes no new work
+	list    objectapi.InstanceSnapshot
+	recent  []objectapi.InstanceSnapshot // lists before that, ordered by revision
+	known   bool                         // a list was received
+	marks   map[string]time.Time         // leaving instances: when one was last observed
+	pushed  map[string]bool              // leaving instances that the collector told
+	silent  map[string]bool              // daemons that no collector hears
+	drained bool                         // Self takes no new work
 }
 
 // isLeaving reports whether an instance was observed leaving.
@@ -71,9 +71,9 @@
 	return v
 }
 
-func (r *roster) place(v *view, instance platform.Instance) {
-	leaving := r.isLeaving(instance.ID) || instance.State == platform.Leaving
-	if instance.Pool == platform.DaemonPool {
+func (r *roster) place(v *view, instance objectapi.Instance) {
+	leaving := r.isLeaving(instance.ID) || instance.State == objectapi.Leaving
+	if instance.Pool == objectapi.DaemonPool {
 		if instance.ID != r.self.ID {
 			v.everyone = append(v.everyone, memberOf(instance, leaving))
 		}
@@ -117,14 +117,14 @@
 	return subset
 }
 
-func memberOf(instance platform.Instance, leaving bool) Member {
+func memberOf(instance objectapi.Instance, leaving bool) Member {
 	return Member{
 		ID: instance.ID, Address: instance.Address, PeerAddress: instance.PeerAddress,
 		Region: instance.Region, FailureDomain: instance.FailureDomain, Leaving: leaving,
 	}
 }
 
-func replicaOf(instance platform.Instance, leaving bool) Replica {
+func replicaOf(instance objectapi.Instance, leaving bool) Replica {
 	return Replica{
 		ID: instance.ID, Pool: instance.Pool, Address: instance.Address,
 		Region: instance.Region, FailureDomain: instance.FailureDomain, Leaving: leaving,
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // maxMessageBytes bounds the documents in one message between daemons, the last
 // document excepted.
 const maxMessageBytes = 512 << 10
 
-func revisionOf(object platform.Object, accepted time.Time) revision {
+func revisionOf(object objectapi.Object, accepted time.Time) revision {
 	return revision{Service: serviceOf(object.Key), Version: object.Version, Source: object.Value, Accepted: accepted}
 }
 
@@ -53,21 +53,21 @@
 	return documents, false
 }
 
-func instanceToWire(i platform.Instance) *fleetpb.Instance {
+func instanceToWire(i objectapi.Instance) *fleetpb.Instance {
 	return &fleetpb.Instance{
 		Id: i.ID, Pool: i.Pool, Address: i.Address, PeerAddress: i.PeerAddress,
 		Region: i.Region, FailureDomain: i.FailureDomain, State: string(i.State),
 	}
 }
 
-func instanceFromWire(i *fleetpb.Instance) platform.Instance {
-	return platform.Instance{
+func instanceFromWire(i *fleetpb.Instance) objectapi.Instance {
+	return objectapi.Instance{
 		ID: i.Id, Pool: i.Pool, Address: i.Address, PeerAddress: i.PeerAddress,
-		Region: i.Region, FailureDomain: i.FailureDomain, State: platform.InstanceState(i.State),
+		Region: i.Region, FailureDomain: i.FailureDomain, State: objectapi.InstanceState(i.State),
 	}
 }
 
-func wholeList(list platform.InstanceSnapshot) *fleetpb.ListChange {
+func wholeList(list objectapi.InstanceSnapshot) *fleetpb.ListChange {
 	change := &fleetpb.ListChange{Revision: list.Revision, Whole: true}
 	for _, instance := range list.Instances {
 		change.Changed = append(change.Changed, instanceToWire(instance))
@@ -76,8 +76,8 @@
 }
 
 // listChange returns what turns one list into another.
-func listChange(from, to platform.InstanceSnapshot) *fleetpb.ListChange {
-	old := make(map[string]platform.Instance, len(from.Instances))
+func listChange(from, to objectapi.InstanceSnapshot) *fleetpb.ListChange {
+	old := make(map[string]objectapi.Instance, len(from.Instances))
 	for _, instance := range from.Instances {
 		old[instance.ID] = instance
 	}
@@ -96,8 +96,8 @@
 }
 
 // applyListChange returns the list that change makes of from.
-func applyListChange(from platform.InstanceSnapshot, change *fleetpb.ListChange) platform.InstanceSnapshot {
-	instances := map[string]platform.Instance{}
+func applyListChange(from objectapi.InstanceSnapshot, change *fleetpb.ListChange) objectapi.InstanceSnapshot {
+	instances := map[string]objectapi.Instance{}
 	if !change.Whole {
 		for _, instance := range from.Instances {
 			instances[instance.ID] = instance
@@ -109,7 +109,7 @@
 	for _, id := range change.Removed {
 		delete(instances, id)
 	}
-	to := platform.InstanceSnapshot{Revision: change.Revision, Instances: make([]platform.Instance, 0, len(instances))}
+	to := objectapi.InstanceSnapshot{Revision: change.Revision, Instances: make([]objectapi.Instance, 0, len(instances))}
 	for _, instance := range instances {
 		to.Instances = append(to.Instances, instance)
 	}
--- a/platform/platform.go
+++ b/objectapi/objectapi.go
@@ -1,7 +1,7 @@
-// Package platform is the client side of what the platform provides: the object
-// API, the instance list and the weight store. Other packages depend on the
-// interfaces only.
-package platform
+// Package objectapi defines what hornbeamtide needs of the platform below it: a store of
+// versioned objects with conditional writes and watches, the list of instances and the
+// versions of model weights. Package platform speaks to the one that our users run.
+package objectapi
 
 import (
 	"context"
--- a/platform/settle.go
+++ b/objectapi/settle.go
@@ -1,8 +1,9 @@
-package platform
+package objectapi
 
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
@@ -83,3 +84,10 @@
 		return false
 	}
 }
+
+const remedySettle = "read the object back and compare before writing again"
+
+func conflict(key string, current int64) error {
+	return fault.New(fault.Conflict, fmt.Sprintf("%s is at version %d", key, current),
+		"read it again and repeat the change on the new version")
+}
--- a/rollout/copies.go
+++ b/rollout/copies.go
@@ -10,7 +10,7 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
 
@@ -158,7 +158,7 @@
 		fault.WithOutcome(fault.NotRun))
 }
 
-func decodeDefinition(object platform.Object, key stepKey) *rolloutpb.Definition {
+func decodeDefinition(object objectapi.Object, key stepKey) *rolloutpb.Definition {
 	var d rolloutpb.Definition
 	if len(object.Value) == 0 || proto.Unmarshal(object.Value, &d) != nil || keyOfDefinition(&d) != key {
 		return nil
--- a/rollout/definition.go
+++ b/rollout/definition.go
@@ -10,7 +10,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
 
@@ -79,8 +79,8 @@
 	if err := defineGroups(d, open.Groups, doc); err != nil {
 		return nil, err
 	}
-	if proto.Size(d) > platform.MaxValueBytes {
-		return nil, invalidStep(fmt.Sprintf("its prompts are over %d bytes in all", platform.MaxValueBytes))
+	if proto.Size(d) > objectapi.MaxValueBytes {
+		return nil, invalidStep(fmt.Sprintf("its prompts are over %d bytes in all", objectapi.MaxValueBytes))
 	}
 	return d, nil
 }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -14,8 +14,8 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 	"github.com/hornbeamtide/hornbeamtide/weights"
 )
@@ -37,7 +37,7 @@
 	Docs      fleet.Documents
 	Generator dispatch.Generator
 	Versions  weights.Versions
-	Store     platform.ObjectStore
+	Store     objectapi.ObjectStore
 	Conns     peer.Conns
 	Recorder  alarm.Recorder
 	Log       *event.Logger
--- a/rollout/session.go
+++ b/rollout/session.go
@@ -9,7 +9,7 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/rollout/rolloutpb"
 )
 
@@ -180,9 +180,9 @@
 	ctx, cancel := context.WithTimeout(ctx, sessionTimeout)
 	defer cancel()
 	if version == 0 {
-		_, err = platform.CreateSettled(ctx, s.m.parts.Store, sessionKey(trainer), value)
+		_, err = objectapi.CreateSettled(ctx, s.m.parts.Store, sessionKey(trainer), value)
 	} else {
-		_, err = platform.UpdateSettled(ctx, s.m.parts.Store, sessionKey(trainer), value, version)
+		_, err = objectapi.UpdateSettled(ctx, s.m.parts.Store, sessionKey(trainer), value, version)
 	}
 	return err
 }
--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -155,7 +155,7 @@
 }
 
 func (r *Result) addPlatform(before, after fakeplatform.Calls) {
-	reads := after.Gets + after.Lists + after.Instances - before.Gets - before.Lists - before.Instances
+	reads := after.Gets + after.Lists + after.Watches - before.Gets - before.Lists - before.Watches
 	r.PlatformReads = float64(reads) / r.WallSeconds
 	r.PlatformWrites = float64(after.Writes-before.Writes) / r.WallSeconds
 }
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // Place is where an instance runs.
@@ -99,8 +99,8 @@
 	if err != nil {
 		return nil, err
 	}
-	instance := platform.Instance{
-		ID: id, Pool: pool, Address: p.Address, State: platform.Live,
+	instance := objectapi.Instance{
+		ID: id, Pool: pool, Address: p.Address, State: objectapi.Live,
 		Region: place.Region, FailureDomain: place.FailureDomain,
 	}
 	return p, c.List(ctx, instance)
@@ -164,8 +164,8 @@
 	if err != nil {
 		return nil, err
 	}
-	instance := platform.Instance{
-		ID: d.ID, Pool: platform.DaemonPool, Address: address, PeerAddress: peerAddress, State: platform.Live,
+	instance := objectapi.Instance{
+		ID: d.ID, Pool: objectapi.DaemonPool, Address: address, PeerAddress: peerAddress, State: objectapi.Live,
 		Region: d.Place.Region, FailureDomain: d.Place.FailureDomain,
 	}
 	if err := c.List(ctx, instance); err != nil {
@@ -181,7 +181,7 @@
 }
 
 // List puts an instance into the platform's list.
-func (c *Cluster) List(ctx context.Context, instance platform.Instance) error {
+func (c *Cluster) List(ctx context.Context, instance objectapi.Instance) error {
 	return c.Send(ctx, http.MethodPut, c.Platform.Address, "/v1/instances/"+instance.ID, instance)
 }
 
--- a/standin/fakeweights/fakeweights.go
+++ b/standin/fakeweights/fakeweights.go
@@ -12,7 +12,7 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // Config configures a Server.
@@ -46,7 +46,7 @@
 	slots   chan struct{}
 
 	mu     sync.Mutex
-	newest map[string]platform.WeightVersion
+	newest map[string]objectapi.WeightVersion
 	faults Faults
 	counts Counts
 }
@@ -54,7 +54,7 @@
 // New returns a store without weights.
 func New(config Config) *Server {
 	config.LoadSlots = max(config.LoadSlots, 1)
-	s := &Server{config: config, newest: map[string]platform.WeightVersion{}, slots: make(chan struct{}, config.LoadSlots)}
+	s := &Server{config: config, newest: map[string]objectapi.WeightVersion{}, slots: make(chan struct{}, config.LoadSlots)}
 	s.limiter = rate.NewLimiter(rate.Inf, 0)
 	if config.ReadRate > 0 {
 		s.limiter = rate.NewLimiter(rate.Limit(config.ReadRate), config.ReadRate)
@@ -77,7 +77,7 @@
 func (s *Server) Publish(pool string, version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.newest[pool] = platform.WeightVersion{Pool: pool, Version: version, Published: time.Now()}
+	s.newest[pool] = objectapi.WeightVersion{Pool: pool, Version: version, Published: time.Now()}
 }
 
 func (s *Server) getLatest(w http.ResponseWriter, r *http.Request) {
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/daemon"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeengine"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplain"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
@@ -190,7 +190,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{Daemon: built, ID: id, region: place.Region, stop: stop, ended: make(chan struct{})}
-	s.list(id, platform.DaemonPool, built.Address(), built.PeerAddress(), place)
+	s.list(id, objectapi.DaemonPool, built.Address(), built.PeerAddress(), place)
 	go func() {
 		defer close(d.ended)
 		d.result = built.Run(ctx)
@@ -200,8 +200,8 @@
 }
 
 func (s *System) list(id, pool, address, peerAddress string, place Place) {
-	s.Platform.SetInstance(platform.Instance{
-		ID: id, Pool: pool, Address: address, PeerAddress: peerAddress, State: platform.Live,
+	s.Platform.SetInstance(objectapi.Instance{
+		ID: id, Pool: pool, Address: address, PeerAddress: peerAddress, State: objectapi.Live,
 		Region: place.Region, FailureDomain: place.FailureDomain,
 	})
 }
--- a/standin/slopes/measure.go
+++ b/standin/slopes/measure.go
@@ -143,7 +143,7 @@
 }
 
 func reads(before, after fakeplatform.Calls) float64 {
-	return float64(after.Gets + after.Lists + after.Instances - before.Gets - before.Lists - before.Instances)
+	return float64(after.Gets + after.Lists + after.Watches - before.Gets - before.Lists - before.Watches)
 }
 
 // measureChanges changes a document at a steady rate, then singly.
--- a/weights/lease.go
+++ b/weights/lease.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 // leaseKey returns the object that holds a pool's lease.
@@ -27,7 +27,7 @@
 // version, so no two clocks are compared. The fencing number is the object version
 // of the holder's latest write.
 type lease struct {
-	store    platform.ObjectStore
+	store    objectapi.ObjectStore
 	key      string
 	holder   string
 	duration time.Duration
@@ -49,7 +49,7 @@
 	started time.Time
 }
 
-func newLease(store platform.ObjectStore, pool, holder string, duration time.Duration, now func() time.Time) *lease {
+func newLease(store objectapi.ObjectStore, pool, holder string, duration time.Duration, now func() time.Time) *lease {
 	return &lease{store: store, key: leaseKey(pool), holder: holder, duration: duration, now: now}
 }
 
@@ -187,21 +187,21 @@
 	l.until = started.Add(l.duration)
 }
 
-func (l *lease) put(ctx context.Context, value []byte, version int64) (platform.Object, error) {
+func (l *lease) put(ctx context.Context, value []byte, version int64) (objectapi.Object, error) {
 	if version == 0 {
-		return platform.CreateSettled(ctx, l.store, l.key, value)
+		return objectapi.CreateSettled(ctx, l.store, l.key, value)
 	}
-	return platform.UpdateSettled(ctx, l.store, l.key, value, version)
+	return objectapi.UpdateSettled(ctx, l.store, l.key, value, version)
 }
 
-func (l *lease) readBack(ctx context.Context, nonce string) (platform.Object, error) {
+func (l *lease) readBack(ctx context.Context, nonce string) (objectapi.Object, error) {
 	object, err := l.store.Get(ctx, l.key)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	var record leaseRecord
 	if json.Unmarshal(object.Value, &record) != nil || record.Nonce != nonce {
-		return platform.Object{}, fault.New(fault.Conflict, "the lease write was lost or another holder wrote", "read the lease again")
+		return objectapi.Object{}, fault.New(fault.Conflict, "the lease write was lost or another holder wrote", "read the lease again")
 	}
 	return object, nil
 }
--- a/weights/manager.go
+++ b/weights/manager.go
@@ -13,8 +13,8 @@
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
-	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/weights/weightspb"
 )
 
@@ -38,8 +38,8 @@
 type Parts struct {
 	View     fleet.View
 	Docs     fleet.Documents
-	Store    platform.ObjectStore
-	Weights  platform.WeightStore
+	Store    objectapi.ObjectStore
+	Weights  objectapi.WeightStore
 	Backends backend.Dialer
 	Gate     ReplicaGate
 	Conns    peer.Conns
