--- /dev/null
+++ b/batch/manager.go
@@ -0,0 +1,361 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/mirror"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/upstream"
+)
+
+// ChooseService is the gateway's choice among a route's services.
+var ChooseService = gateway.ChooseService
+
+// Parts are what a Manager works with.
+type Parts struct {
+	Self          string // ID of this daemon
+	Store         objectapi.ObjectStore
+	Mirror        *mirror.Mirror // keeps KindJobs and KindEnds
+	Members       mirror.Peers   // drpc addresses of all daemons, this one included
+	Conns         peer.Conns
+	Tracker       *placement.Tracker
+	Backend       upstream.Backend
+	Configuration func() *catalog.Configuration // nil while none is known
+	Log           *event.Logger
+}
+
+// Manager accepts, runs and reads batches.
+type Manager struct {
+	self          string
+	store         objectapi.ObjectStore
+	mirror        *mirror.Mirror
+	members       mirror.Peers
+	conns         peer.Conns
+	tracker       *placement.Tracker
+	backend       upstream.Backend
+	configuration func() *catalog.Configuration
+	log           *event.Logger
+	scoring       chan struct{} // places of scoring requests
+
+	ctx      context.Context // ends with the manager
+	stop     context.CancelFunc
+	mu       sync.Mutex
+	jobs     map[string]*known
+	draining bool
+	look     chan struct{} // jobs or ends changed
+}
+
+// known is a batch that this daemon has heard of.
+type known struct {
+	job      Job
+	ended    bool
+	run      *run       // nil unless this daemon runs it
+	starting bool       // this daemon is about to run it
+	log      *resultLog // as far as this daemon has read it; the run's while it runs
+	unserved int        // rounds in a row in which nobody ahead of this daemon ran it
+}
+
+// NewManager returns a manager that observes the mirror.
+func NewManager(p Parts) *Manager {
+	ctx, stop := context.WithCancel(context.Background())
+	m := &Manager{
+		self: p.Self, store: p.Store, mirror: p.Mirror, members: p.Members, conns: p.Conns, tracker: p.Tracker,
+		backend: p.Backend, configuration: p.Configuration, log: p.Log,
+		scoring: make(chan struct{}, scoresAtOnce),
+		ctx:     ctx, stop: stop, jobs: map[string]*known{}, look: make(chan struct{}, 1),
+	}
+	p.Mirror.Observe(KindJobs, m.jobChanged)
+	p.Mirror.Observe(KindEnds, m.endChanged)
+	return m
+}
+
+// jobChanged notes a batch that appeared in the store.
+func (m *Manager) jobChanged(c mirror.Change) {
+	job, err := decodeJob(c.Value)
+	if c.Deleted {
+		job.ID = nameOf(KindJobs, c.Key)
+	} else if err != nil {
+		m.log.Log(event.BatchUnreadable, event.F("key", c.Key), event.Err(err))
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.jobs[job.ID]
+	switch {
+	case c.Deleted && k != nil:
+		k.cancel()
+		delete(m.jobs, job.ID)
+	case !c.Deleted && (k == nil || k.job.ID == ""):
+		m.learn(job)
+	}
+	m.wake()
+}
+
+// learn adds a batch. The caller holds the lock.
+func (m *Manager) learn(job Job) *known {
+	k := m.jobs[job.ID]
+	if k == nil {
+		k = &known{log: newResultLog(job.ID, m.store, m.log)}
+		m.jobs[job.ID] = k
+	}
+	k.job = job
+	return k
+}
+
+// endChanged notes the end of a batch.
+func (m *Manager) endChanged(c mirror.Change) {
+	if c.Deleted {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteEnd(nameOf(KindEnds, c.Key))
+}
+
+// noteEnd cancels what runs of an ended batch. The caller holds the lock.
+func (m *Manager) noteEnd(id string) {
+	k := m.jobs[id]
+	if k == nil {
+		k = &known{log: newResultLog(id, m.store, m.log)}
+		m.jobs[id] = k
+	}
+	k.ended = true
+	k.cancel()
+}
+
+func (k *known) cancel() {
+	if k.run != nil {
+		k.run.cancel()
+	}
+}
+
+func nameOf(kind, key string) string { return key[len(kind)+1:] }
+
+// wake has the jobs looked at. The caller holds the lock.
+func (m *Manager) wake() {
+	select {
+	case m.look <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps batches running until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	defer m.stop()
+	ticker := time.NewTicker(superviseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.look:
+		case <-ticker.C:
+		}
+		m.supervise(ctx)
+	}
+}
+
+const (
+	storePause  = 150 * time.Millisecond // between two tries of a write
+	settleLimit = 2 * time.Second        // of one call to a peer
+)
+
+// Accept stores a batch. After a nil error the batch is kept and will run. An error with
+// outcome fault.NotRun says that no part of it runs or ever will.
+func (m *Manager) Accept(ctx context.Context, job Job) error {
+	if err := job.Validate(); err != nil {
+		return err
+	}
+	if m.knows(job.ID) {
+		return nil
+	}
+	job.Owner, job.Accepted = m.self, time.Now()
+	w := &acceptance{Manager: m, job: job}
+	return w.run(ctx)
+}
+
+func (m *Manager) knows(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.jobs[id]
+	return k != nil && k.job.ID != ""
+}
+
+// acceptance is the writing of one batch.
+type acceptance struct {
+	*Manager
+
+	job       Job
+	unsettled bool // a write may have taken effect or may do so later
+}
+
+func (w *acceptance) run(ctx context.Context) error {
+	var last error
+	for try := 0; ctx.Err() == nil; try++ {
+		done, err := w.write(ctx)
+		if done {
+			return nil
+		}
+		if fault.Is(err, fault.Invalid) {
+			return err
+		}
+		last = err
+		if !w.mirror.StoreAnswers() && w.askPeer(ctx, try) {
+			return nil
+		}
+		pause(ctx, storePause)
+	}
+	if w.unsettled {
+		return fault.Wrap(last, fault.Ambiguous, "the batch may have been accepted", "submit it again with the same id")
+	}
+	return fault.Wrap(last, fault.Unavailable, "the batch could not be stored", "submit it again",
+		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
+}
+
+// write makes one try to store the batch. An object that exists means that it is accepted.
+func (w *acceptance) write(ctx context.Context) (bool, error) {
+	head, parts, err := w.job.encode()
+	if err != nil {
+		return false, err
+	}
+	for i, part := range parts {
+		if _, err := w.store.Create(ctx, partKey(w.job.ID, i), part); err != nil && !fault.Is(err, fault.Conflict) {
+			return false, err // without its head a part is nothing
+		}
+	}
+	created, err := w.store.Create(ctx, jobKey(w.job.ID), head)
+	switch {
+	case err == nil:
+		w.log.Log(event.BatchAccepted, event.F("batch", w.job.ID), event.F("step", w.job.Step),
+			event.F("items", len(w.job.Items)), event.F("version", created.Version))
+		w.begin()
+		return true, nil
+	case fault.Is(err, fault.Conflict):
+		return true, nil
+	case fault.Is(err, fault.Ambiguous):
+		w.unsettled = true
+	}
+	return false, err
+}
+
+// begin starts a batch that this daemon has just stored. It is new: nothing is listed.
+func (w *acceptance) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := w.learn(w.job)
+	if k.run == nil && !k.starting && !k.ended && !w.draining {
+		k.run = w.start(w.job, k.log, nil)
+	}
+}
+
+// End ends a batch. After a nil error nothing of it is begun any more.
+func (m *Manager) End(ctx context.Context, id string) error {
+	if !m.knows(id) {
+		if _, err := m.fetch(ctx, id); err != nil {
+			return err
+		}
+	}
+	m.mu.Lock()
+	m.noteEnd(id)
+	m.mu.Unlock()
+	for try := 0; ; try++ {
+		_, err := m.store.Create(ctx, endKey(id), []byte("ended"))
+		if err == nil || fault.Is(err, fault.Conflict) {
+			return nil
+		}
+		if !m.mirror.StoreAnswers() && m.askPeerToEnd(ctx, id, try) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fault.Wrap(err, fault.Ambiguous, "the end of the batch is not settled", "end it again")
+		}
+		pause(ctx, storePause)
+	}
+}
+
+// fetch reads a batch from the store that this daemon has not heard of.
+func (m *Manager) fetch(ctx context.Context, id string) (*known, error) {
+	o, err := m.store.Get(ctx, jobKey(id))
+	if err != nil {
+		if fault.Is(err, fault.NotFound) {
+			return nil, fault.New(fault.NotFound, "there is no batch "+id, "check its id")
+		}
+		return nil, unsure(err)
+	}
+	job, err := decodeJob(o.Value)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "batch "+id+" can't be read", "report this defect")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.jobs[id]; k != nil && k.job.ID != "" {
+		return k, nil
+	}
+	return m.learn(job), nil
+}
+
+// unsure is the error of a read that only the store could have answered.
+func unsure(err error) error {
+	return fault.Wrap(err, fault.Unavailable, "the platform's store does not answer", "read again",
+		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(500*time.Millisecond))
+}
+
+// items returns a batch's items, from its parts if it has any.
+func (m *Manager) items(ctx context.Context, job Job) ([]Item, error) {
+	items := job.Items
+	for i := range job.Parts {
+		o, err := m.store.Get(ctx, partKey(job.ID, i))
+		if err != nil {
+			return nil, unsure(err)
+		}
+		part, err := decodeItems(o.Value)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "items of batch "+job.ID+" can't be read", "report this defect")
+		}
+		items = append(items, part...)
+	}
+	return items, nil
+}
+
+// Body returns the body of an item.
+func (m *Manager) Body(ctx context.Context, id, item string) ([]byte, error) {
+	k, err := m.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	items, err := m.items(ctx, m.jobOf(k))
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range items {
+		if i.ID == item {
+			return i.Body, nil
+		}
+	}
+	return nil, fault.New(fault.NotFound, "the batch has no item "+item, "check its id")
+}
+
+func (m *Manager) find(ctx context.Context, id string) (*known, error) {
+	m.mu.Lock()
+	k := m.jobs[id]
+	found := k != nil && k.job.ID != ""
+	m.mu.Unlock()
+	if found {
+		return k, nil
+	}
+	return m.fetch(ctx, id)
+}
+
+func (m *Manager) jobOf(k *known) Job {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return k.job
+}
--- /dev/null
+++ b/batch/peers.go
@@ -0,0 +1,148 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+)
+
+// Register adds the manager's drpc service.
+func (m *Manager) Register(mux drpc.Mux) error {
+	return batchpb.DRPCRegisterBatch(mux, service{m})
+}
+
+// otherPeer returns the address of another daemon, a different one at each try.
+func (m *Manager) otherPeer(try int) string {
+	peers := m.members()
+	delete(peers, m.self)
+	var addresses []string
+	for _, address := range peers {
+		addresses = append(addresses, address)
+	}
+	if len(addresses) == 0 || try > len(addresses) {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// askPeer has another daemon store the batch, since the store turns this one away.
+func (w *acceptance) askPeer(ctx context.Context, try int) bool {
+	address := w.otherPeer(try)
+	if address == "" {
+		return false
+	}
+	value, err := json.Marshal(w.job)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	conn, err := w.conns.Conn(ctx, address)
+	if err != nil {
+		return false
+	}
+	_, err = batchpb.NewDRPCBatchClient(conn).Accept(ctx, &batchpb.JobRequest{Id: w.job.ID, Json: value})
+	if err != nil && fault.OutcomeOf(err) != fault.NotRun {
+		w.unsettled = true
+	}
+	return err == nil
+}
+
+func (m *Manager) askPeerToEnd(ctx context.Context, id string, try int) bool {
+	address := m.otherPeer(try)
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	conn, err := m.conns.Conn(ctx, address)
+	if err != nil {
+		return false
+	}
+	_, err = batchpb.NewDRPCBatchClient(conn).End(ctx, &batchpb.JobRequest{Id: id})
+	return err == nil
+}
+
+// service answers other daemons.
+type service struct{ m *Manager }
+
+// Accept implements batchpb.DRPCBatchServer. It does not ask further daemons.
+func (s service) Accept(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
+	job, err := decodeJob(request.Json)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the batch can't be read", "report this defect", fault.WithOutcome(fault.NotRun))
+	}
+	if s.m.knows(job.ID) {
+		return &batchpb.Reply{}, nil
+	}
+	if !s.m.mirror.StoreAnswers() {
+		return nil, fault.New(fault.Unavailable, "the store does not answer here either", "ask another daemon", fault.WithOutcome(fault.NotRun))
+	}
+	job.Owner, job.Accepted = s.m.self, time.Now()
+	w := &acceptance{Manager: s.m, job: job}
+	done, err := w.write(ctx)
+	switch {
+	case done:
+		return &batchpb.Reply{}, nil
+	case w.unsettled:
+		return nil, fault.Wrap(err, fault.Ambiguous, "the batch may have been accepted", "submit it again")
+	}
+	return nil, fault.Wrap(err, fault.Unavailable, "the batch was not stored", "ask another daemon", fault.WithOutcome(fault.NotRun))
+}
+
+// End implements batchpb.DRPCBatchServer.
+func (s service) End(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
+	if !s.m.mirror.StoreAnswers() {
+		return nil, fault.New(fault.Unavailable, "the store does not answer here either", "ask another daemon", fault.WithOutcome(fault.NotRun))
+	}
+	return &batchpb.Reply{}, s.m.End(ctx, request.Id)
+}
+
+// Runs implements batchpb.DRPCBatchServer.
+func (s service) Runs(_ context.Context, request *batchpb.JobRequest) (*batchpb.RunsAnswer, error) {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	k := s.m.jobs[request.Id]
+	return &batchpb.RunsAnswer{Running: k != nil && (k.run != nil || k.starting)}, nil
+}
+
+// Results implements batchpb.DRPCBatchServer.
+func (s service) Results(ctx context.Context, request *batchpb.ResultsRequest) (*batchpb.ResultsAnswer, error) {
+	s.m.mu.Lock()
+	k := s.m.jobs[request.Id]
+	s.m.mu.Unlock()
+	if k == nil {
+		return &batchpb.ResultsAnswer{}, nil
+	}
+	page, ok := s.m.ownPage(ctx, k, int(request.After), time.Duration(request.WaitMs)*time.Millisecond)
+	if !ok {
+		return &batchpb.ResultsAnswer{}, nil
+	}
+	value, err := json.Marshal(page)
+	return &batchpb.ResultsAnswer{Known: true, Json: value}, err
+}
+
+// TakeOver implements batchpb.DRPCBatchServer.
+func (s service) TakeOver(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
+	var texts map[string]*Text
+	if err := json.Unmarshal(request.Json, &texts); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the texts can't be read", "report this defect")
+	}
+	k, err := s.m.find(ctx, request.Id)
+	if err != nil {
+		return nil, err
+	}
+	s.m.takeOver(ctx, k, texts)
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	if k.run == nil && !k.ended {
+		return nil, fault.New(fault.Draining, "this daemon does not take the batch", "ask another one", fault.WithOutcome(fault.NotRun))
+	}
+	return &batchpb.Reply{}, nil
+}
--- /dev/null
+++ b/batch/run.go
@@ -0,0 +1,185 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/placement"
+)
+
+// run is a batch that this daemon runs.
+type run struct {
+	*Manager
+
+	job    Job
+	log    *resultLog
+	ctx    context.Context // ends with the batch or the daemon
+	cancel context.CancelFunc
+	done   chan struct{} // closed when all of the run's goroutines ended
+
+	mu     sync.Mutex
+	texts  map[string]*Text // of items that are not finished
+	queue  []*task
+	left   map[string]int // unfinished items by group
+	queued chan struct{}  // the queue grew
+}
+
+// task is an item that waits for its turn or is being worked on.
+type task struct {
+	item     *Item
+	tried    map[string]bool // replicas that failed it a short time ago
+	failures int             // answers that say that the item failed
+}
+
+// start runs a batch with what is known of its unfinished texts.
+func (m *Manager) start(job Job, log *resultLog, texts map[string]*Text) *run {
+	ctx, cancel := context.WithCancel(m.ctx)
+	r := &run{
+		Manager: m, job: job, log: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		texts: texts, left: map[string]int{}, queued: make(chan struct{}, 1),
+	}
+	if r.texts == nil {
+		r.texts = map[string]*Text{}
+	}
+	for _, g := range orderGroups(groupsOf(job.Items), job.GroupCount) {
+		for _, item := range g.items {
+			if !log.has(item.ID) {
+				r.queue = append(r.queue, &task{item: item})
+				r.left[item.Group]++
+			}
+		}
+	}
+	go r.work()
+	return r
+}
+
+// work hands out tasks until the batch ends.
+func (r *run) work() {
+	defer close(r.done)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { r.log.write(r.ctx) })
+	for r.ctx.Err() == nil {
+		changed := r.tracker.Changed()
+		t, lease := r.next()
+		if t != nil {
+			group.Go(func() { r.generate(t, lease) })
+			continue
+		}
+		r.await(changed)
+	}
+}
+
+// idleLook is the longest time between two looks at what waits.
+const idleLook = 250 * time.Millisecond
+
+func (r *run) await(changed <-chan struct{}) {
+	r.mu.Lock()
+	empty := len(r.queue) == 0
+	r.mu.Unlock()
+	if empty {
+		select {
+		case <-r.ctx.Done():
+		case <-r.queued:
+		}
+		return
+	}
+	timer := time.NewTimer(idleLook)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+	case <-r.queued:
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// next takes the first task for which there is a place.
+func (r *run) next() (*task, *placement.Lease) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, t := range r.queue {
+		lease := r.place(t)
+		if lease != nil {
+			r.queue = append(r.queue[:i:i], r.queue[i+1:]...)
+			return t, lease
+		}
+		if i >= lookAhead {
+			break
+		}
+	}
+	return nil, nil
+}
+
+// lookAhead is how many tasks behind the first may pass it: one whose replicas are full
+// or failed should not hold up the others.
+const lookAhead = 2
+
+// place takes a place for a task at a replica that may run it.
+func (r *run) place(t *task) *placement.Lease {
+	route, ok := r.routeOf(t.item)
+	if !ok {
+		return nil
+	}
+	request := placement.Request{
+		Service: serviceOf(route, t.item.ID), Exclude: t.tried, Model: r.job.Model,
+		MinVersion: r.job.MinVersion, Affinity: t.item.Group, MustFit: true,
+	}
+	lease := r.tracker.Pick(request)
+	if lease == nil && len(t.tried) > 0 {
+		request.Exclude, t.tried = nil, nil
+		lease = r.tracker.Pick(request)
+	}
+	return lease
+}
+
+// again puts a task back to the front of the queue.
+func (r *run) again(t *task) {
+	r.mu.Lock()
+	r.queue = append([]*task{t}, r.queue...)
+	r.mu.Unlock()
+	select {
+	case r.queued <- struct{}{}:
+	default:
+	}
+}
+
+// text returns a copy of what was generated of an item, empty if nothing was.
+func (r *run) text(item string) Text {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.texts[item]; t != nil {
+		return Text{Events: append([]string(nil), t.Events...), Versions: append([]int64(nil), t.Versions...)}
+	}
+	return Text{}
+}
+
+func (r *run) keepText(item string, t Text) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.texts[item] = &t
+}
+
+// finish lists the result of an item.
+func (r *run) finish(item *Item, result Result) {
+	r.mu.Lock()
+	delete(r.texts, item.ID)
+	r.left[item.Group]--
+	whole := r.left[item.Group] <= 0
+	r.mu.Unlock()
+	if result.State == Errored {
+		r.Manager.log.Log(event.BatchItemErrored, event.F("batch", r.job.ID), event.F("item", item.ID))
+	}
+	r.log.add(result, whole)
+}
+
+// stop ends the run and waits for its goroutines. It returns the unfinished texts.
+func (r *run) stop() map[string]*Text {
+	r.cancel()
+	<-r.done
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.texts
+}
--- /dev/null
+++ b/batch/score.go
@@ -0,0 +1,116 @@
+package batch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/upstream"
+)
+
+const (
+	// scoresAtOnce bounds the scoring requests of this daemon in progress: callers wait
+	// at the same plain servers, and a burst of finished groups must not queue before them.
+	scoresAtOnce = 4
+	// scoreTimeout is that of routes that name none.
+	scoreTimeout   = 3 * time.Second
+	maxScoreAnswer = 1 << 20
+	scorePause     = 50 * time.Millisecond
+)
+
+// score sends a finished text's scoring request until it is answered, then lists the item.
+func (r *run) score(t *task) {
+	text := r.text(t.item.ID)
+	result := Result{
+		ID: t.item.ID, State: Completed, Output: strings.Join(text.Events, "\n"), Versions: text.Versions,
+	}
+	if t.item.Scorer == nil {
+		r.finish(t.item, result)
+		return
+	}
+	failures := 0
+	tried := map[string]bool{}
+	for r.ctx.Err() == nil {
+		score, failed := r.scoreOnce(t.item.Scorer, tried)
+		if score != "" {
+			result.Score = score
+			r.finish(t.item, result)
+			return
+		}
+		if failed {
+			failures++
+		}
+		if limit := r.scoreAttempts(t.item.Scorer); limit > 0 && failures >= limit {
+			r.finish(t.item, Result{ID: t.item.ID, State: Errored})
+			return
+		}
+		pause(r.ctx, scorePause)
+	}
+}
+
+func (r *run) scoreAttempts(s *Scorer) int {
+	if c := r.configuration(); c != nil {
+		if route, ok := c.Match(s.Host, s.Path); ok {
+			return route.MaxAttempts
+		}
+	}
+	return 0
+}
+
+// scoreOnce makes one attempt. It returns the score, or whether a server said that the
+// request failed. tried holds the servers that did not answer.
+func (r *run) scoreOnce(s *Scorer, tried map[string]bool) (score string, failed bool) {
+	select {
+	case r.scoring <- struct{}{}:
+		defer func() { <-r.scoring }()
+	case <-r.ctx.Done():
+		return "", false
+	}
+	c := r.configuration()
+	if c == nil {
+		return "", false
+	}
+	route, ok := c.Match(s.Host, s.Path)
+	if !ok {
+		return "", false
+	}
+	request := placement.Request{Service: serviceOf(route, s.ID), Exclude: tried, MustFit: true}
+	lease := r.tracker.Pick(request)
+	if lease == nil {
+		clear(tried)
+		return "", false
+	}
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = scoreTimeout
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, limit)
+	defer cancel()
+	started := time.Now()
+	answer, err := r.backend.Send(ctx, upstream.Call{
+		Replica: lease.Replica, RequestID: s.ID, Method: http.MethodPost, Target: s.Path, Host: s.Host,
+		Body: s.Body, Left: limit, MayRepeat: true,
+	})
+	if err != nil {
+		lease.Done(r.brokeOr(), nil, 0)
+		tried[lease.ID] = true
+		return "", false
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxScoreAnswer)); err != nil {
+		lease.Done(r.brokeOr(), answer.Load, 0)
+		tried[lease.ID] = true
+		return "", false
+	}
+	lease.Done(outcomeOf(answer), answer.Load, time.Since(started))
+	if answer.Status < 300 && answer.Signed {
+		return answer.Score, false
+	}
+	r.Manager.log.Log(event.BatchScoreFailed, event.F("batch", r.job.ID), event.F("request", s.ID),
+		event.F("replica", lease.ID), event.F("status", answer.Status))
+	return "", answer.Status == http.StatusInternalServerError
+}
--- /dev/null
+++ b/batch/supervise.go
@@ -0,0 +1,238 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/event"
+)
+
+const (
+	superviseInterval = 500 * time.Millisecond
+	// takeOverRounds is how many rounds in a row the daemons ahead must not run a batch
+	// before the next one does.
+	takeOverRounds = 3
+	// standIns is how many daemons beside the owner look after a batch.
+	standIns = 3
+	askLimit = 400 * time.Millisecond
+)
+
+// candidates are the daemons that should run a batch, best first: the one that accepted
+// it, then the others by rendezvous hashing.
+func (m *Manager) candidates(job Job, peers map[string]string) []string {
+	ids := []string{job.Owner}
+	rest := make([]string, 0, len(peers))
+	for id := range peers {
+		if id != job.Owner {
+			rest = append(rest, id)
+		}
+	}
+	sort.Slice(rest, func(a, b int) bool { return weight(job.ID, rest[a]) > weight(job.ID, rest[b]) })
+	return append(ids, rest...)
+}
+
+func weight(job, daemon string) uint64 { return xxhash.Sum64String(job + "\x00" + daemon) }
+
+// supervise starts the batches that this daemon should run because it accepted them, or
+// because those ahead of it don't.
+func (m *Manager) supervise(ctx context.Context) {
+	peers := m.members()
+	for _, k := range m.unserved() {
+		job := m.jobOf(k)
+		order := m.candidates(job, peers)
+		for rank, id := range order {
+			if rank > standIns {
+				break
+			}
+			if id == m.self {
+				m.superviseOne(ctx, k, order[:rank], peers)
+				break
+			}
+		}
+	}
+	m.expire(ctx)
+}
+
+// unserved are the open batches that this daemon does not run.
+func (m *Manager) unserved() []*known {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []*known
+	for _, k := range m.jobs {
+		if k.job.ID != "" && k.run == nil && !k.starting && !k.ended && !m.draining {
+			found = append(found, k)
+		}
+	}
+	return found
+}
+
+func (m *Manager) superviseOne(ctx context.Context, k *known, ahead []string, peers map[string]string) {
+	job := m.jobOf(k)
+	if k.log.size() >= k.total() {
+		return
+	}
+	others := ahead
+	if len(ahead) == 0 { // the owner after a restart: a stand-in may have begun
+		others = m.candidates(job, peers)[1:]
+		others = others[:min(len(others), standIns-1)]
+	}
+	for _, id := range others {
+		if m.askRuns(ctx, peers[id], job.ID) {
+			k.unserved = 0
+			return
+		}
+	}
+	k.unserved++
+	if len(ahead) > 0 && k.unserved < takeOverRounds*len(ahead) {
+		return
+	}
+	m.takeOver(ctx, k, nil)
+}
+
+func (m *Manager) askRuns(ctx context.Context, address, id string) bool {
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	conn, err := m.conns.Conn(ctx, address)
+	if err != nil {
+		return false
+	}
+	answer, err := batchpb.NewDRPCBatchClient(conn).Runs(ctx, &batchpb.JobRequest{Id: id})
+	return err == nil && answer.Running
+}
+
+// takeOver runs a batch from where its log stands. texts are of its unfinished items.
+func (m *Manager) takeOver(ctx context.Context, k *known, texts map[string]*Text) {
+	m.mu.Lock()
+	if k.run != nil || k.starting || k.ended || m.draining {
+		m.mu.Unlock()
+		return
+	}
+	k.starting = true
+	job, log := k.job, k.log
+	m.mu.Unlock()
+	items, err := m.items(ctx, job)
+	if err == nil {
+		err = log.load(ctx)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k.starting = false
+	if err != nil || k.ended || m.draining {
+		return // looked at again in the next round
+	}
+	job.Items, job.Parts = items, 0
+	k.job = job
+	k.run = m.start(job, log, texts)
+	k.unserved = 0
+	m.log.Log(event.BatchTakenOver, event.F("batch", job.ID), event.F("owner", job.Owner),
+		event.F("listed", log.size()), event.F("texts", len(texts)))
+}
+
+// Drain hands the batches that this daemon runs to others, with their unfinished texts.
+func (m *Manager) Drain(ctx context.Context) {
+	m.mu.Lock()
+	m.draining = true
+	var running []*known
+	for _, k := range m.jobs {
+		if k.run != nil && !k.ended {
+			running = append(running, k)
+		}
+	}
+	m.mu.Unlock()
+	for _, k := range running {
+		m.handOver(ctx, k)
+	}
+}
+
+func (m *Manager) handOver(ctx context.Context, k *known) {
+	m.mu.Lock()
+	r := k.run
+	m.mu.Unlock()
+	texts := r.stop()
+	m.mu.Lock()
+	k.run = nil
+	m.mu.Unlock()
+	if r.log.size() >= len(r.job.Items) {
+		return
+	}
+	value, err := json.Marshal(texts)
+	if err != nil {
+		return
+	}
+	peers := m.members()
+	for _, id := range m.candidates(r.job, peers) {
+		if id == m.self || peers[id] == "" || ctx.Err() != nil {
+			continue
+		}
+		if m.giveTo(ctx, peers[id], r.job.ID, value) == nil {
+			m.log.Log(event.BatchHandedOver, event.F("batch", r.job.ID), event.F("to", id), event.F("texts", len(texts)))
+			return
+		}
+	}
+}
+
+func (m *Manager) giveTo(ctx context.Context, address, id string, texts []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	conn, err := m.conns.Conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	_, err = batchpb.NewDRPCBatchClient(conn).TakeOver(ctx, &batchpb.JobRequest{Id: id, Json: texts})
+	return err
+}
+
+// keepTime is how long a batch stays readable after it was accepted, with a margin.
+const keepTime = 150 * time.Second
+
+// expire deletes ended batches whose time is over, the definition last. Only the first
+// daemon in line does it.
+func (m *Manager) expire(ctx context.Context) {
+	m.mu.Lock()
+	var expired []*known
+	for _, k := range m.jobs {
+		if k.ended && k.job.ID != "" && time.Since(k.job.Accepted) > keepTime {
+			expired = append(expired, k)
+		}
+	}
+	m.mu.Unlock()
+	peers := m.members()
+	for _, k := range expired {
+		job := m.jobOf(k)
+		if order := m.candidates(job, peers); order[0] != m.self && (peers[order[0]] != "" || order[1] != m.self) {
+			continue
+		}
+		m.remove(ctx, job)
+	}
+}
+
+// remove deletes a batch's objects. What fails is tried again in the next round.
+func (m *Manager) remove(ctx context.Context, job Job) {
+	chunks, err := m.store.List(ctx, resultsKind(job.ID)+"/")
+	if err != nil {
+		return
+	}
+	for _, o := range chunks.Objects {
+		if m.store.Delete(ctx, o.Key, o.Version) != nil {
+			return
+		}
+	}
+	for i := range job.Parts {
+		if o, err := m.store.Get(ctx, partKey(job.ID, i)); err == nil && m.store.Delete(ctx, o.Key, o.Version) != nil {
+			return
+		}
+	}
+	for _, key := range []string{endKey(job.ID), jobKey(job.ID)} {
+		if o, err := m.store.Get(ctx, key); err == nil {
+			_ = m.store.Delete(ctx, o.Key, o.Version) // tried again in the next round
+		}
+	}
+}
--- /dev/null
+++ b/cmd/hornbeamtide/edge.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/hornbeamtide/hornbeamtide/edge"
+)
+
+// edgeCommand runs a daemon on the users' platform.
+type edgeCommand struct {
+	*app
+	Settings string `short:"s" long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
+}
+
+// Execute implements flags.Commander.
+func (c *edgeCommand) Execute([]string) error {
+	settings, err := edge.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	d, err := edge.New(settings, c.stdout)
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilStopped()
+	defer stop()
+	return d.Run(ctx)
+}
+
+// standbyCommand runs the process of instances with a data disk.
+type standbyCommand struct {
+	*app
+	Settings string `short:"s" long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
+}
+
+// Execute implements flags.Commander.
+func (c *standbyCommand) Execute([]string) error {
+	settings, err := edge.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilStopped()
+	defer stop()
+	return edge.NewStandby(settings, c.stdout).Run(ctx)
+}
+
+// untilStopped returns a context that ends when a planned stop is asked for. A changed
+// settings file takes effect at the next start.
+func untilStopped() (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGHUP)
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
--- a/cmd/hornbeamtide/options.go
+++ b/cmd/hornbeamtide/options.go
@@ -73,6 +73,8 @@
 	r := remote{app: a}
 	return []commandEntry{
 		{"serve", "Run a daemon", "Runs a daemon until SIGTERM or SIGINT, then drains it. A second signal ends it at once.", &serveCommand{app: a}},
+		{"edge", "Run a daemon on the platform", "Serves callers and trainers on the users' platform until SIGTERM or SIGINT, then stops within stop_time.", &edgeCommand{app: a}},
+		{"standby", "Run beside a data disk", "The process of instances with a data disk; it keeps nothing there.", &standbyCommand{app: a}},
 		{"check", "Check files", "Checks settings and documents without starting anything.", &checkCommand{app: a}},
 		{"apply", "Change a document", "Writes a document if nobody changed it since it was read.", &applyCommand{remote: r}},
 		{"get", "Print a document", "Prints a service's document with its version in the first line, or lists all documents.", &getCommand{remote: r}},
--- /dev/null
+++ b/edge/daemon.go
@@ -0,0 +1,307 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"github.com/hornbeamtide/hornbeamtide/batch"
+	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/mirror"
+	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/waves"
+)
+
+const (
+	syncInterval   = time.Second      // between two questions to peers
+	headerTimeout  = 10 * time.Second // for a request's headers
+	idleTimeout    = 2 * time.Minute  // longer than callers keep an idle connection
+	maxHeaderBytes = 64 << 10
+	peerConnect    = 500 * time.Millisecond
+	peerProgress   = 3 * time.Second
+	// drainNotice is how long connections are still taken after a stop was asked for: the
+	// platform's balancer needs two seconds to notice.
+	drainNotice = 2500 * time.Millisecond
+	// stopMargin is kept of the time for a stop.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Daemon is one process that serves callers and trainers.
+type Daemon struct {
+	settings Settings
+	started  time.Time
+	log      *event.Logger
+	modules
+
+	configuration atomic.Pointer[catalog.Configuration]
+	draining      atomic.Bool
+}
+
+// modules are the parts of a daemon.
+type modules struct {
+	dig.In
+
+	Store    *platform.Client
+	Conns    *peer.Pool
+	Server   *peer.Server
+	Mirror   *mirror.Mirror
+	Tracker  *placement.Tracker
+	Backends *platform.Backends
+	Gateway  *gateway.Gateway
+	Batches  *batch.Manager
+	Waves    *waves.Manager
+}
+
+// New builds a daemon that is not running.
+func New(settings Settings, output io.Writer) (*Daemon, error) {
+	d := &Daemon{settings: settings, started: time.Now(), log: newLogger(settings, output)}
+	container := dig.New()
+	for _, constructor := range d.constructors() {
+		if err := container.Provide(constructor); err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "the modules can't be wired", "report this defect")
+		}
+	}
+	if err := container.Invoke(func(m modules) { d.modules = m }); err != nil {
+		return nil, fault.Wrap(dig.RootCause(err), fault.Internal, "the modules can't be wired", "report this defect")
+	}
+	d.observe()
+	for _, service := range []interface{ Register(mux drpcMux) error }{d.Mirror, d.Batches} {
+		if err := service.Register(d.Server.Mux()); err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "the drpc services can't be registered", "report this defect")
+		}
+	}
+	return d, nil
+}
+
+func (d *Daemon) constructors() []any {
+	s := d.settings
+	return []any{
+		func() *event.Logger { return d.log },
+		func() *platform.Client {
+			return platform.NewClient(platform.Config{
+				Address: s.Store.Address, CallTimeout: s.Store.CallTimeout, Progress: s.Store.Watch, WriteRate: s.Store.Writes,
+			}, d.log)
+		},
+		func() *peer.Pool {
+			return peer.NewPool(peer.Config{Connect: peerConnect, Progress: peerProgress}, d.log)
+		},
+		peer.NewServer,
+		placement.NewTracker,
+		platform.NewBackends,
+		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
+			return mirror.New(mirror.Config{Self: s.ID, Kinds: mirroredKinds(), SyncInterval: syncInterval}, store, conns, d.syncPeers, d.log)
+		},
+		func(b *platform.Backends, t *placement.Tracker) *gateway.Gateway { return gateway.New(b, t, d.log) },
+		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends) *batch.Manager {
+			return batch.NewManager(batch.Parts{
+				Self: s.ID, Store: store, Mirror: m, Members: d.members, Conns: conns, Tracker: t, Backend: b,
+				Configuration: d.configuration.Load, Log: d.log,
+			})
+		},
+		func(store *platform.Client, t *placement.Tracker, b *platform.Backends) *waves.Manager {
+			return waves.NewManager(waves.Config{
+				Self: s.ID, Incarnation: d.started.UnixMilli(), Lease: s.Orders.Lease, Fenced: s.Orders.Fenced,
+			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Members: d.members, Log: d.log})
+		},
+	}
+}
+
+func mirroredKinds() []string {
+	return []string{
+		platform.ConfigurationKind, platform.ReplicaKind, platform.VersionKind, platform.RetirementKind,
+		platform.MemberKind, batch.KindJobs, batch.KindEnds,
+	}
+}
+
+// observe turns objects of the store into what the modules work with.
+func (d *Daemon) observe() {
+	d.Mirror.Observe(platform.ConfigurationKind, d.configurationChanged)
+	d.Mirror.Observe(platform.ReplicaKind, d.replicaChanged)
+	d.Mirror.Observe(platform.VersionKind, func(c mirror.Change) {
+		if v, err := platform.DecodeModelVersion(c.Key, c.Value); err == nil && !c.Deleted {
+			d.Waves.Named(v)
+		}
+	})
+}
+
+func (d *Daemon) configurationChanged(c mirror.Change) {
+	if c.Deleted || c.Key != platform.ConfigurationKey {
+		return
+	}
+	next, err := platform.DecodeConfiguration(c.Value)
+	if err != nil {
+		d.log.Log(event.EdgeConfigurationRefused, event.F("revision", c.Version), event.Err(err))
+		return
+	}
+	if current := d.configuration.Load(); current != nil && next.Version <= current.Version {
+		return
+	}
+	d.configuration.Store(next)
+	d.log.Log(event.EdgeConfiguration, event.F("version", next.Version), event.F("routes", len(next.Routes)))
+}
+
+func (d *Daemon) replicaChanged(c mirror.Change) {
+	replica, err := platform.DecodeReplica(c.Key, c.Value)
+	switch {
+	case c.Deleted:
+		id := c.Key[len(platform.ReplicaKind)+1:]
+		d.Tracker.Remove(id, c.Lapsed)
+		d.log.Log(event.EdgeReplicaGone, event.F("replica", id), event.F("lapsed", c.Lapsed))
+	case err != nil:
+		d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
+	default:
+		d.Tracker.Set(replica)
+		d.log.Log(event.EdgeReplica, event.F("replica", replica.ID), event.F("service", replica.Service),
+			event.F("state", string(replica.State)), event.F("versions", replica.Versions))
+	}
+}
+
+// members are the drpc addresses of all daemons by ID.
+func (d *Daemon) members() map[string]string {
+	members := map[string]string{d.settings.ID: d.settings.PeerAddress}
+	for _, o := range d.Mirror.Objects(platform.MemberKind) {
+		var m platform.Member
+		if json.Unmarshal(o.Value, &m) == nil && m.ID != "" && m.PeerAddress != "" {
+			members[m.ID] = m.PeerAddress
+		}
+	}
+	return members
+}
+
+// syncPeers are the daemons to ask for news: the seeds until others are known.
+func (d *Daemon) syncPeers() map[string]string {
+	peers := d.members()
+	if len(peers) > 1 {
+		return peers
+	}
+	for _, seed := range d.settings.seeds() {
+		if seed != d.settings.PeerAddress {
+			peers[seed] = seed
+		}
+	}
+	return peers
+}
+
+// ready reports whether the daemon should get new connections.
+func (d *Daemon) ready() bool {
+	return d.configuration.Load() != nil && d.Mirror.Known(platform.ReplicaKind) && !d.draining.Load()
+}
+
+// Run serves until ctx ends, then stops: new connections go elsewhere, batches are handed
+// over, requests in progress end.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context) error{
+		func(ctx context.Context) error { return d.Server.Serve(ctx, listeners.peer) },
+		d.Mirror.Run, d.Batches.Run, d.Waves.Run, d.announce, d.retire,
+	} {
+		running.Go(func() {
+			if err := run(work); err != nil && work.Err() == nil {
+				d.log.Log(event.DaemonModuleFailed, event.Err(err))
+			}
+		})
+	}
+	front := d.serveFront(listeners.front)
+	ready := serveHTTP(listeners.ready, platform.Ready(d.ready))
+	metrics := d.serveMetrics(listeners.metric)
+	d.log.Log(event.EdgeStarted, event.F("front", d.settings.FrontAddress), event.F("peer", d.settings.PeerAddress))
+	<-ctx.Done()
+	d.stop(work, front)
+	cancel()
+	_ = ready.Close()
+	if metrics != nil {
+		_ = metrics.Close()
+	}
+	running.Wait()
+	d.Conns.Close()
+	d.log.Log(event.EdgeStopped)
+	return nil
+}
+
+type edgeListeners struct{ front, ready, peer, metric net.Listener }
+
+func (d *Daemon) listen() (edgeListeners, error) {
+	var l edgeListeners
+	for _, entry := range []struct {
+		key, address string
+		listener     *net.Listener
+		optional     bool
+	}{
+		{"front_address", d.settings.FrontAddress, &l.front, false},
+		{"ready_address", d.settings.ReadyAddress, &l.ready, false},
+		{"peer_address", d.settings.PeerAddress, &l.peer, false},
+		{"metric_address", d.settings.MetricAddress, &l.metric, true},
+	} {
+		if entry.address == "" && entry.optional {
+			continue
+		}
+		listener, err := net.Listen("tcp", entry.address)
+		if err != nil {
+			return l, fault.Wrap(err, fault.Invalid, entry.key+" can't be bound", "stop the process that uses the port, or choose another address")
+		}
+		*entry.listener = listener
+	}
+	return l, nil
+}
+
+func (d *Daemon) serveFront(listener net.Listener) *http.Server {
+	server := &http.Server{
+		Handler:           platform.NewFront(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	go func() { _ = server.Serve(listener) }() // ends with Shutdown
+	return server
+}
+
+func serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	return server
+}
+
+// stop ends the daemon's work within the time for a stop.
+func (d *Daemon) stop(work context.Context, front *http.Server) {
+	d.log.Log(event.DaemonDraining)
+	begun := time.Now()
+	d.draining.Store(true)
+	d.Batches.Drain(work)
+	time.Sleep(time.Until(begun.Add(drainNotice)))
+	limit, cancel := context.WithDeadline(work, begun.Add(d.settings.StopTime-stopMargin))
+	defer cancel()
+	if err := front.Shutdown(limit); err != nil {
+		d.log.Log(event.DaemonDrainCut, event.Err(err))
+		_ = front.Close()
+	}
+}
+
+func newLogger(s Settings, output io.Writer) *event.Logger {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
+		logger.SetLevel(level)
+	}
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	if s.Log.Format == "text" {
+		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	}
+	return event.NewLogger(logger, event.F("daemon", s.ID))
+}
--- /dev/null
+++ b/edge/duties.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"storj.io/drpc"
+
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+type drpcMux = drpc.Mux
+
+// announcePause is the wait between two tries to write this daemon's own object.
+const announcePause = 500 * time.Millisecond
+
+// announce writes the object by which other daemons find this one.
+func (d *Daemon) announce(ctx context.Context) error {
+	value, err := json.Marshal(platform.Member{
+		ID: d.settings.ID, Address: d.settings.FrontAddress, PeerAddress: d.settings.PeerAddress,
+		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
+	})
+	if err != nil {
+		return err
+	}
+	key := platform.MemberKind + "/" + d.settings.ID
+	for ctx.Err() == nil {
+		o, err := d.Store.Create(ctx, key, value)
+		if fault.Is(err, fault.Conflict) {
+			o, err = d.replaceMember(ctx, key, value)
+		}
+		if err == nil {
+			d.Mirror.Add(platform.MemberKind, o)
+			return nil
+		}
+		pauseFor(ctx, announcePause)
+	}
+	return nil
+}
+
+// replaceMember rewrites the object if it says something else, which happens when an
+// instance comes back at another address.
+func (d *Daemon) replaceMember(ctx context.Context, key string, value []byte) (objectapi.Object, error) {
+	current, err := d.Store.Get(ctx, key)
+	if err != nil || bytes.Equal(current.Value, value) {
+		return current, err
+	}
+	return d.Store.Update(ctx, key, value, current.Version)
+}
+
+// retireInterval is the pause between two looks at instances that are to be emptied.
+const retireInterval = 700 * time.Millisecond
+
+// retirement is the status of an instance that is to be emptied.
+type retirement struct {
+	State string `json:"State"`
+}
+
+// retire reports instances with a disk as emptied at once: nothing that must last is kept
+// on them. The first daemon in line does it; the others step in later.
+func (d *Daemon) retire(ctx context.Context) error {
+	seen := map[int64]time.Time{}
+	done := map[int64]bool{}
+	for ctx.Err() == nil {
+		for _, o := range d.Mirror.Objects(platform.RetirementKind) {
+			if seen[o.Version].IsZero() {
+				seen[o.Version] = time.Now()
+			}
+			wait := time.Duration(d.rankFor(o.Key)) * 2 * time.Second
+			if done[o.Version] || time.Since(seen[o.Version]) < wait {
+				continue
+			}
+			if err := d.Store.SetStatus(ctx, o.Key, retirement{State: "completed"}); err == nil || fault.Is(err, fault.NotFound) {
+				done[o.Version] = true
+				d.log.Log(event.EdgeRetired, event.F("instance", o.Key))
+			}
+		}
+		pauseFor(ctx, retireInterval)
+	}
+	return nil
+}
+
+// rankFor is this daemon's place in line for a duty.
+func (d *Daemon) rankFor(duty string) int {
+	own, rank := xxhash.Sum64String(duty+"\x00"+d.settings.ID), 0
+	for id := range d.members() {
+		if xxhash.Sum64String(duty+"\x00"+id) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// serveMetrics serves counters and the state of the modules; nil without an address.
+func (d *Daemon) serveMetrics(listener net.Listener) *http.Server {
+	if listener == nil {
+		return nil
+	}
+	vars := new(expvar.Map).Init()
+	vars.Set("store", expvar.Func(func() any { return d.Store.Calls() }))
+	vars.Set("gateway", expvar.Func(func() any { return d.Gateway.Counters() }))
+	vars.Set("connections", expvar.Func(func() any { return d.Backends.Opened() }))
+	vars.Set("peers", expvar.Func(func() any { return d.Conns.Counters() }))
+	return serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, vars.String())
+	}))
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/event/batch.go
@@ -0,0 +1,17 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events of package batch.
+var (
+	BatchAccepted     = define(1500, logrus.InfoLevel, "batch accepted", "The batch is in the platform's store at the given version; this daemon runs it.")
+	BatchTakenOver    = define(1501, logrus.InfoLevel, "batch taken over", "The daemon that ran the batch stopped, was lost or handed it over; this one goes on from what is listed.")
+	BatchHandedOver   = define(1502, logrus.InfoLevel, "batch handed over", "This daemon stops; another one goes on with the unfinished texts.")
+	BatchItemMoved    = define(1503, logrus.InfoLevel, "item goes on elsewhere", "A replica refused the item, broke off or runs weights that are too old; its text is kept.")
+	BatchItemErrored  = define(1504, logrus.WarnLevel, "item given up", "The replicas said that the item can't be done, or it failed as often as its route allows.")
+	BatchScoreFailed  = define(1505, logrus.InfoLevel, "scoring request failed", "The scoring service did not answer with a score; it is asked again within its route's attempts.")
+	BatchChunkLost    = define(1506, logrus.InfoLevel, "another daemon wrote the results first", "Two daemons ran the batch; the results in the store count, this daemon's copies of them are dropped.")
+	BatchChunkRefused = define(1507, logrus.ErrorLevel, "results are too large for the store", "A defect of this program. Report it.")
+	BatchUnreadable   = define(1508, logrus.ErrorLevel, "stored batch can't be read", "Another program version or writer made the object; check who wrote it.")
+	BatchEnded        = define(1509, logrus.InfoLevel, "batch ended", "Its client ended the batch; what still runs of it is cancelled.")
+)
--- /dev/null
+++ b/event/waves.go
@@ -0,0 +1,11 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events of package waves.
+var (
+	WaveLeaseTaken      = define(1600, logrus.InfoLevel, "lease of weight orders taken", "This daemon brings new weight versions to the replicas.")
+	WaveLeaseLost       = define(1601, logrus.InfoLevel, "lease of weight orders lost", "Another daemon holds it, or its renewal is not settled; this one gives no more orders.")
+	WaveOrder           = define(1602, logrus.InfoLevel, "weight version ordered", "A replica was told to load a version; reply is its answer.")
+	WaveOrderUnanswered = define(1603, logrus.InfoLevel, "order without an answer", "The replica may carry the order out now, later or not; its report decides.")
+)
--- /dev/null
+++ b/gateway/counters.go
@@ -0,0 +1,19 @@
+package gateway
+
+import "sync/atomic"
+
+// Counters counts requests since the start.
+type Counters struct {
+	Requests int64 `json:"requests"`
+	Answered int64 `json:"answered"` // with a replica's answer
+	Failed   int64 `json:"failed"`   // with an error of this daemon
+}
+
+type counters struct {
+	requests, answered, failed atomic.Int64
+}
+
+// Counters returns the counts so far.
+func (g *Gateway) Counters() Counters {
+	return Counters{Requests: g.counts.requests.Load(), Answered: g.counts.answered.Load(), Failed: g.counts.failed.Load()}
+}
--- /dev/null
+++ b/placement/pick.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamtide/hornbeamtide/catalog"
+)
+
+// Request is what a request needs of its replica.
+type Request struct {
+	Service    string
+	Exclude    map[string]bool // replicas that were tried
+	Model      string          // "" when any will do
+	MinVersion int64           // oldest weight version of Model that may run it
+	Affinity   string          // requests with the same key share a prompt prefix
+	MustFit    bool            // only where a slot is free; the request waits otherwise
+}
+
+// candidate is a replica at the time of a choice.
+type candidate struct {
+	*replica
+
+	load  float64 // requests there, of all daemons
+	slots int
+}
+
+// Pick chooses a replica and takes a place there. It returns nil if none can take the
+// request now.
+func (t *Tracker) Pick(request Request) *Lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := t.candidates(request)
+	candidates = prefer(candidates, t.isTrusted)
+	if request.MustFit {
+		candidates = keep(candidates, hasRoom)
+	} else {
+		candidates = prefer(candidates, hasRoom)
+	}
+	chosen := choose(candidates, request.Affinity, medianPace(candidates))
+	if chosen == nil {
+		return nil
+	}
+	chosen.inProgress++
+	return &Lease{Replica: chosen.Replica, tracker: t, taken: t.now()}
+}
+
+// candidates are the replicas that may run the request at all.
+func (t *Tracker) candidates(request Request) []candidate {
+	var found []candidate
+	for _, r := range t.replicas {
+		switch {
+		case r.Service != request.Service, r.State != catalog.Ready, t.gone(r), request.Exclude[r.ID]:
+		case request.Model != "" && r.Versions[request.Model] < request.MinVersion:
+		case t.now().Before(r.held):
+		default:
+			found = append(found, candidate{replica: r, load: t.loadOf(r), slots: slotsOf(r)})
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
+	return found
+}
+
+// defaultSlots is assumed of a replica that never told its slots.
+const defaultSlots = 4
+
+func slotsOf(r *replica) int {
+	switch {
+	case r.Slots > 0:
+		return r.Slots
+	case r.load.Slots > 0:
+		return r.load.Slots
+	}
+	return defaultSlots
+}
+
+// loadOf is the replica's own report while it is fresh, corrected by what this daemon
+// sent and finished since; else this daemon's requests only.
+func (t *Tracker) loadOf(r *replica) float64 {
+	if t.now().Sub(r.loadAt) > reportAge {
+		return float64(r.inProgress)
+	}
+	reported := float64(r.load.Running + r.load.Waiting + r.inProgress - r.ownAtLoad)
+	return max(reported, float64(r.inProgress))
+}
+
+// isTrusted leaves out replicas that failed a short time ago.
+func (t *Tracker) isTrusted(c candidate) bool { return !t.now().Before(c.suspect) }
+
+func hasRoom(c candidate) bool { return c.load < float64(c.slots) }
+
+func keep(candidates []candidate, holds func(candidate) bool) []candidate {
+	var kept []candidate
+	for _, c := range candidates {
+		if holds(c) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// prefer keeps the candidates for which the condition holds, or all if there are none.
+func prefer(candidates []candidate, holds func(candidate) bool) []candidate {
+	if kept := keep(candidates, holds); len(kept) > 0 {
+		return kept
+	}
+	return candidates
+}
+
+func medianPace(candidates []candidate) float64 {
+	var paces []float64
+	for _, c := range candidates {
+		if c.pace > 0 {
+			paces = append(paces, c.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	sort.Float64s(paces)
+	return paces[len(paces)/2]
+}
+
+// affinityLoad is the share of its slots up to which the replica of a shared prompt takes
+// more: beyond it, the time in a batch costs more than reading the prompt again.
+const affinityLoad = 0.75
+
+// choose takes the replica that the key leads to while it has room, else the one that
+// would finish first.
+func choose(candidates []candidate, key string, median float64) *replica {
+	if key != "" {
+		if c := preferred(candidates, key); c != nil && c.load < affinityLoad*float64(c.slots) && slowness(*c, median) < slowReplica {
+			return c.replica
+		}
+	}
+	var best *candidate
+	var bestCost float64
+	for i, c := range candidates {
+		cost := cost(c, median) * (1 + tieBreak*rand.Float64())
+		if best == nil || cost < bestCost {
+			best, bestCost = &candidates[i], cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.replica
+}
+
+// tieBreak spreads equal candidates.
+const tieBreak = 0.05
+
+// slowReplica is how many times slower than the median a replica is that a shared
+// prompt no longer leads to.
+const slowReplica = 1.5
+
+func slowness(c candidate, median float64) float64 {
+	if c.pace == 0 || median == 0 {
+		return 1
+	}
+	return max(c.pace/median, 0.5)
+}
+
+// cost grows with the requests that share the replica's batch and with its slowness.
+func cost(c candidate, median float64) float64 {
+	share := (c.load + 1) / float64(c.slots)
+	return (0.5 + share) * slowness(c, median) * slowness(c, median)
+}
+
+// preferred is the candidate that rendezvous hashing gives the key.
+func preferred(candidates []candidate, key string) *candidate {
+	var best *candidate
+	var bestWeight uint64
+	for i, c := range candidates {
+		if weight := xxhash.Sum64String(key + "\x00" + c.ID); best == nil || weight > bestWeight {
+			best, bestWeight = &candidates[i], weight
+		}
+	}
+	return best
+}
