--- a/batch/job.go
+++ b/batch/job.go
@@ -19,6 +19,9 @@
 	KindEnds = "ends"    // one object a batch that its client ended
 )
 
+// endValue is the content of the object that ends a batch.
+var endValue = []byte("ended")
+
 // Job is an accepted batch. It is never changed.
 type Job struct {
 	ID         string    `json:"id"`
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -23,8 +23,8 @@
 type Parts struct {
 	Self          string // ID of this daemon
 	Store         objectapi.ObjectStore
-	Mirror        *mirror.Mirror // keeps KindJobs and KindEnds
-	Members       mirror.Peers   // drpc addresses of all daemons, this one included
+	Mirror        *mirror.Mirror           // keeps KindJobs and KindEnds
+	Members       func() map[string]string // drpc addresses of all daemons, this one included
 	Conns         peer.Conns
 	Tracker       *placement.Tracker
 	Backend       upstream.Backend
@@ -37,7 +37,7 @@
 	self          string
 	store         objectapi.ObjectStore
 	mirror        *mirror.Mirror
-	members       mirror.Peers
+	members       func() map[string]string
 	conns         peer.Conns
 	tracker       *placement.Tracker
 	backend       upstream.Backend
@@ -57,6 +57,8 @@
 type known struct {
 	job      Job
 	ended    bool
+	endedAt  time.Time  // when this daemon heard of the end
+	final    bool       // the whole log was read after the last write could take effect
 	run      *run       // nil unless this daemon runs it
 	starting bool       // this daemon is about to run it
 	log      *resultLog // as far as this daemon has read it; the run's while it runs
@@ -127,7 +129,9 @@
 		k = &known{log: newResultLog(id, m.store, m.log)}
 		m.jobs[id] = k
 	}
-	k.ended = true
+	if !k.ended {
+		k.ended, k.endedAt = true, time.Now()
+	}
 	k.cancel()
 }
 
@@ -164,8 +168,9 @@
 }
 
 const (
-	storePause  = 150 * time.Millisecond // between two tries of a write
-	settleLimit = 2 * time.Second        // of one call to a peer
+	storePause  = 150 * time.Millisecond // between two tries of a write; doubled maxBackoff times
+	maxBackoff  = 2
+	settleLimit = 2 * time.Second // of one call to a peer
 )
 
 // Accept stores a batch. After a nil error the batch is kept and will run. An error with
@@ -208,10 +213,10 @@
 			return err
 		}
 		last = err
-		if !w.mirror.StoreAnswers() && w.askPeer(ctx, try) {
+		if w.askPeer(ctx, try) {
 			return nil
 		}
-		pause(ctx, storePause)
+		pause(ctx, storePause<<min(try, maxBackoff))
 	}
 	if w.unsettled {
 		return fault.Wrap(last, fault.Ambiguous, "the batch may have been accepted", "submit it again with the same id")
@@ -266,18 +271,19 @@
 	m.mu.Lock()
 	m.noteEnd(id)
 	m.mu.Unlock()
+	go m.tellRunners(id)
 	for try := 0; ; try++ {
-		_, err := m.store.Create(ctx, endKey(id), []byte("ended"))
+		_, err := m.store.Create(ctx, endKey(id), endValue)
 		if err == nil || fault.Is(err, fault.Conflict) {
 			return nil
 		}
-		if !m.mirror.StoreAnswers() && m.askPeerToEnd(ctx, id, try) {
+		if m.askPeerToEnd(ctx, id, try) {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return fault.Wrap(err, fault.Ambiguous, "the end of the batch is not settled", "end it again")
 		}
-		pause(ctx, storePause)
+		pause(ctx, storePause<<min(try, maxBackoff))
 	}
 }
 
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -81,9 +81,6 @@
 	if s.m.knows(job.ID) {
 		return &batchpb.Reply{}, nil
 	}
-	if !s.m.mirror.StoreAnswers() {
-		return nil, fault.New(fault.Unavailable, "the store does not answer here either", "ask another daemon", fault.WithOutcome(fault.NotRun))
-	}
 	job.Owner, job.Accepted = s.m.self, time.Now()
 	w := &acceptance{Manager: s.m, job: job}
 	done, err := w.write(ctx)
@@ -96,12 +93,50 @@
 	return nil, fault.Wrap(err, fault.Unavailable, "the batch was not stored", "ask another daemon", fault.WithOutcome(fault.NotRun))
 }
 
-// End implements batchpb.DRPCBatchServer.
+// End implements batchpb.DRPCBatchServer. It does not ask further daemons.
 func (s service) End(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
-	if !s.m.mirror.StoreAnswers() {
-		return nil, fault.New(fault.Unavailable, "the store does not answer here either", "ask another daemon", fault.WithOutcome(fault.NotRun))
+	_, err := s.m.store.Create(ctx, endKey(request.Id), endValue)
+	if err != nil && !fault.Is(err, fault.Conflict) {
+		return nil, err
+	}
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	s.m.noteEnd(request.Id)
+	return &batchpb.Reply{}, nil
+}
+
+// Cancel implements batchpb.DRPCBatchServer.
+func (s service) Cancel(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	s.m.noteEnd(request.Id)
+	return &batchpb.Reply{}, nil
+}
+
+// tellRunners tells the daemons that may run a batch of its end, since they hear of it
+// from the store only later.
+func (m *Manager) tellRunners(id string) {
+	m.mu.Lock()
+	k := m.jobs[id]
+	m.mu.Unlock()
+	if k == nil {
+		return
+	}
+	peers := m.members()
+	for i, daemon := range m.candidates(m.jobOf(k), peers) {
+		if i >= askedReaders {
+			return
+		}
+		if daemon == m.self || peers[daemon] == "" {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, askLimit)
+		if conn, err := m.conns.Conn(ctx, peers[daemon]); err == nil {
+			// The mirror brings the end to a daemon that does not answer.
+			_, _ = batchpb.NewDRPCBatchClient(conn).Cancel(ctx, &batchpb.JobRequest{Id: id})
+		}
+		cancel()
 	}
-	return &batchpb.Reply{}, s.m.End(ctx, request.Id)
 }
 
 // Runs implements batchpb.DRPCBatchServer.
--- a/batch/read.go
+++ b/batch/read.go
@@ -44,8 +44,8 @@
 	m.mu.Lock()
 	r, total := k.run, k.total()
 	m.mu.Unlock()
-	if r == nil {
-		return Page{}, false
+	if r == nil || r.ctx.Err() != nil {
+		return Page{}, false // a write that the end cut off may have taken effect
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -59,7 +59,7 @@
 		case <-timer.C:
 			return Page{Total: total, Results: results}, true
 		case <-r.ctx.Done():
-			return Page{Total: total, Results: results}, true
+			return Page{}, false
 		case <-ctx.Done():
 			return Page{Total: total, Results: results}, true
 		}
@@ -120,14 +120,25 @@
 // storedPage reads what the store has of a batch that nobody seems to run.
 func (m *Manager) storedPage(ctx context.Context, k *known, after int) (Page, error) {
 	m.mu.Lock()
-	log, total := k.log, k.total()
+	log, total, final := k.log, k.total(), k.final
+	settled := k.ended && time.Since(k.endedAt) > lateWrite
 	m.mu.Unlock()
 	results, _ := log.page(after)
-	if len(results) == 0 && log.size() < total {
-		if err := log.load(ctx); err != nil {
-			return Page{}, unsure(err)
-		}
-		results, _ = log.page(after)
+	if len(results) > 0 || log.size() >= total || final {
+		return Page{Total: total, Results: results}, nil
 	}
+	if err := log.load(ctx); err != nil {
+		return Page{}, unsure(err)
+	}
+	if settled {
+		m.mu.Lock()
+		k.final = true
+		m.mu.Unlock()
+	}
+	results, _ = log.page(after)
 	return Page{Total: total, Results: results}, nil
 }
+
+// lateWrite is how long after the end of a batch a write of its results may still take
+// effect; then its log is read once more and never again.
+const lateWrite = 12 * time.Second
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -26,7 +26,6 @@
 )
 
 const (
-	syncInterval   = time.Second      // between two questions to peers
 	headerTimeout  = 10 * time.Second // for a request's headers
 	idleTimeout    = 2 * time.Minute  // longer than callers keep an idle connection
 	maxHeaderBytes = 64 << 10
@@ -102,7 +101,7 @@
 		placement.NewTracker,
 		platform.NewBackends,
 		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
-			return mirror.New(mirror.Config{Self: s.ID, Kinds: mirroredKinds(), SyncInterval: syncInterval}, store, conns, d.syncPeers, d.log)
+			return mirror.New(mirror.Config{Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds()}, store, conns, d.mirrorMembers, d.log)
 		},
 		func(b *platform.Backends, t *placement.Tracker) *gateway.Gateway { return gateway.New(b, t, d.log) },
 		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends) *batch.Manager {
@@ -119,10 +118,24 @@
 	}
 }
 
-func mirroredKinds() []string {
-	return []string{
-		platform.ConfigurationKind, platform.ReplicaKind, platform.VersionKind, platform.RetirementKind,
-		platform.MemberKind, batch.KindJobs, batch.KindEnds,
+const (
+	// promptWait is that of kinds whose changes must be in force within two seconds.
+	promptWait = time.Second
+	// versionWait is that of named weight versions.
+	versionWait = 2500 * time.Millisecond
+	// slowWait is that of kinds that are told in other ways too, or seldom matter.
+	slowWait = 6 * time.Second
+)
+
+func mirroredKinds() []mirror.Kind {
+	return []mirror.Kind{
+		{Name: platform.ConfigurationKind, Wait: promptWait},
+		{Name: platform.ReplicaKind, Wait: promptWait},
+		{Name: platform.VersionKind, Wait: versionWait},
+		{Name: platform.RetirementKind, Wait: slowWait},
+		{Name: platform.MemberKind, Wait: slowWait},
+		{Name: batch.KindJobs, Wait: slowWait},
+		{Name: batch.KindEnds, Wait: versionWait},
 	}
 }
 
@@ -169,30 +182,44 @@
 	}
 }
 
-// members are the drpc addresses of all daemons by ID.
-func (d *Daemon) members() map[string]string {
-	members := map[string]string{d.settings.ID: d.settings.PeerAddress}
+// knownMembers are the daemons that announced themselves.
+func (d *Daemon) knownMembers() []platform.Member {
+	var members []platform.Member
 	for _, o := range d.Mirror.Objects(platform.MemberKind) {
 		var m platform.Member
 		if json.Unmarshal(o.Value, &m) == nil && m.ID != "" && m.PeerAddress != "" {
-			members[m.ID] = m.PeerAddress
+			members = append(members, m)
 		}
 	}
 	return members
 }
 
-// syncPeers are the daemons to ask for news: the seeds until others are known.
-func (d *Daemon) syncPeers() map[string]string {
-	peers := d.members()
-	if len(peers) > 1 {
-		return peers
+// members are the drpc addresses of all daemons by ID.
+func (d *Daemon) members() map[string]string {
+	members := map[string]string{d.settings.ID: d.settings.PeerAddress}
+	for _, m := range d.knownMembers() {
+		members[m.ID] = m.PeerAddress
+	}
+	return members
+}
+
+// mirrorMembers are the daemons to hear news from: the seeds until others are known.
+func (d *Daemon) mirrorMembers() []mirror.Member {
+	members := []mirror.Member{{ID: d.settings.ID, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}}
+	for _, m := range d.knownMembers() {
+		if m.ID != d.settings.ID {
+			members = append(members, mirror.Member{ID: m.ID, Address: m.PeerAddress, FailureDomain: m.FailureDomain})
+		}
+	}
+	if len(members) > 1 {
+		return members
 	}
 	for _, seed := range d.settings.seeds() {
 		if seed != d.settings.PeerAddress {
-			peers[seed] = seed
+			members = append(members, mirror.Member{ID: seed, Address: seed})
 		}
 	}
-	return peers
+	return members
 }
 
 // ready reports whether the daemon should get new connections.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,7 @@
-// Package mirror keeps a copy of some kinds of objects of the platform's store. A daemon
-// watches the store and asks one peer a second for what it missed, so that one which the
-// store turns away or forgets still learns of changes.
+// Package mirror keeps a copy of some kinds of objects of the platform's store on every
+// daemon. A few daemons, the collectors, watch the store; the others wait at a collector
+// for news, so that the store's calls don't grow with the fleet. A daemon that finds no
+// collector with fresh news watches the store itself.
 package mirror
 
 import (
@@ -11,30 +12,36 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
-	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 )
 
-const (
-	// firstPause and maxPause bound the wait before a failed watch is opened again.
-	firstPause = 100 * time.Millisecond
-	maxPause   = time.Second
-	// outageGrace is how long after an outage of the store a vanished object may be one
-	// whose writer has not reached the store yet.
-	outageGrace = 4 * time.Second
-)
+// outageGrace is how long after an outage of the store a vanished object may be one whose
+// writer has not reached the store yet.
+const outageGrace = 4 * time.Second
+
+// Kind is a kind of objects to keep.
+type Kind struct {
+	Name string
+	// Wait is how long one watch call waits for changes. A watch may go silent without
+	// a sign: a change is then seen after that time only.
+	Wait time.Duration
+}
+
+// Member is another daemon.
+type Member struct {
+	ID            string
+	Address       string // drpc host:port
+	FailureDomain string
+}
 
 // Config configures a Mirror.
 type Config struct {
-	Self         string        // ID of this daemon
-	Kinds        []string      // kinds of objects to keep
-	SyncInterval time.Duration // between two questions to peers
+	Self          string // ID of this daemon
+	FailureDomain string
+	Kinds         []Kind
 }
 
-// Peers tells the addresses of other daemons by ID.
-type Peers func() map[string]string
-
 // Change is one object that is new, changed or gone.
 type Change struct {
 	objectapi.Object
@@ -47,35 +54,43 @@
 
 // Mirror is the copy. Its observers are called in the order of changes, one at a time.
 type Mirror struct {
-	config Config
-	store  objectapi.ObjectStore
-	conns  peer.Conns
-	peers  Peers
-	log    *event.Logger
-
-	mu        sync.Mutex
-	kinds     map[string]*kindCopy
-	heard     map[string]time.Time // by daemon: its last call or answer
-	lost      time.Time            // since when the store does not answer, zero while it does
-	regained  time.Time            // end of its last outage
-	storeNews time.Time            // when the store answered last
+	config  Config
+	store   objectapi.ObjectStore
+	conns   peer.Conns
+	members func() []Member // this daemon may be among them
+	log     *event.Logger
+
+	mu       sync.Mutex
+	kinds    map[string]*kindCopy
+	lost     time.Time            // since when the store does not answer, zero while it does
+	regained time.Time            // end of its last outage
+	fresh    time.Time            // when the copy was last known to be the store's state
+	bad      map[string]time.Time // daemons that gave no fresh news, until then
+	watching bool                 // this daemon watches the store
+	changed  chan struct{}        // closed when a kind changed
+	role     chan struct{}        // closed when watching changed
 }
 
 // kindCopy is the copy of one kind: complete up to a revision of the store.
 type kindCopy struct {
+	Kind
+
 	revision int64 // 0 while nothing is known
+	changed  int64 // revision of the last change
 	objects  map[string]objectapi.Object
 	observe  []func(Change)
+	answered time.Time // when a watch call of this daemon was answered last
 }
 
 // New returns an empty mirror. Observe must be called before Run.
-func New(config Config, store objectapi.ObjectStore, conns peer.Conns, peers Peers, log *event.Logger) *Mirror {
+func New(config Config, store objectapi.ObjectStore, conns peer.Conns, members func() []Member, log *event.Logger) *Mirror {
 	m := &Mirror{
-		config: config, store: store, conns: conns, peers: peers, log: log,
-		kinds: map[string]*kindCopy{}, heard: map[string]time.Time{},
+		config: config, store: store, conns: conns, members: members, log: log,
+		kinds: map[string]*kindCopy{}, bad: map[string]time.Time{},
+		changed: make(chan struct{}), role: make(chan struct{}),
 	}
 	for _, kind := range config.Kinds {
-		m.kinds[kind] = &kindCopy{objects: map[string]objectapi.Object{}}
+		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}}
 	}
 	return m
 }
@@ -106,37 +121,13 @@
 	return found
 }
 
-// Object returns one object.
-func (m *Mirror) Object(kind, key string) (objectapi.Object, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	o, ok := m.kinds[kind].objects[key]
-	return o, ok
-}
-
 // Add puts an object into the copy that this daemon has just written.
 func (m *Mirror) Add(kind string, o objectapi.Object) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	k := m.kinds[kind]
-	if k.objects[o.Key].Version >= o.Version {
-		return
+	if k := m.kinds[kind]; k.objects[o.Key].Version < o.Version {
+		k.set(Change{Object: o})
 	}
-	k.set(Change{Object: o})
-}
-
-// Heard returns when a daemon was last heard, zero if never.
-func (m *Mirror) Heard(id string) time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.heard[id]
-}
-
-// StoreAnswers reports whether the last call of the store was answered.
-func (m *Mirror) StoreAnswers() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.lost.IsZero() && !m.storeNews.IsZero()
 }
 
 // Run keeps the copy until ctx ends.
@@ -145,90 +136,20 @@
 	for _, kind := range m.config.Kinds {
 		group.Go(func() { m.watch(ctx, kind) })
 	}
-	group.Go(func() { m.syncWithPeers(ctx) })
+	group.Go(func() { m.attend(ctx) })
 	group.Wait()
 	return nil
 }
 
-// watch follows one kind in the store.
-func (m *Mirror) watch(ctx context.Context, kind string) {
-	pause := firstPause
-	for ctx.Err() == nil {
-		progressed, err := m.follow(ctx, kind)
-		if ctx.Err() != nil {
-			return
-		}
-		if progressed {
-			pause = firstPause
-		}
-		if fault.Is(err, fault.Conflict) {
-			m.log.Log(event.MirrorHistoryGone, event.F("kind", kind))
-			m.forgetRevision(kind)
-			continue
-		}
-		m.storeFailed(kind, err)
-		sleep(ctx, pause)
-		pause = min(2*pause, maxPause)
-	}
-}
-
-// follow lists the kind if nothing is known of it, then watches it until an error. It
-// reports whether the store answered at all.
-func (m *Mirror) follow(ctx context.Context, kind string) (progressed bool, err error) {
-	after := m.listed(kind)
-	if after == 0 {
-		list, err := m.store.List(ctx, kind+"/")
-		if err != nil {
-			return false, err
-		}
-		m.replace(kind, list.Revision, list.Objects)
-		after, progressed = list.Revision, true
-	}
-	watch, err := m.store.Watch(ctx, kind+"/", after)
-	if err != nil {
-		return progressed, err
-	}
-	defer watch.Close()
-	for {
-		change, err := watch.Next(ctx)
-		if err != nil {
-			return progressed, err
-		}
-		progressed = true
-		m.apply(kind, change)
-	}
-}
-
-func (m *Mirror) listed(kind string) int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.kinds[kind].revision
-}
-
-// forgetRevision has the kind listed anew; the objects stay until then.
-func (m *Mirror) forgetRevision(kind string) {
+// Age returns how long ago the copy was last known to be the store's state.
+func (m *Mirror) Age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.kinds[kind].revision = 0
+	return m.age()
 }
 
-func (m *Mirror) storeFailed(kind string, err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.lost.IsZero() {
-		m.lost = time.Now()
-		m.log.Log(event.MirrorStoreLost, event.F("kind", kind), event.Err(err))
-	}
-}
-
-// storeAnswered notes an answer of the store. The caller holds the lock.
-func (m *Mirror) storeAnswered() {
-	m.storeNews = time.Now()
-	if !m.lost.IsZero() {
-		m.log.Log(event.MirrorStoreRegained, event.F("after", time.Since(m.lost).Round(time.Millisecond)))
-		m.lost, m.regained = time.Time{}, time.Now()
-	}
-}
+// age is Age for a caller that holds the lock.
+func (m *Mirror) age() time.Duration { return time.Since(m.fresh) }
 
 // disturbed reports whether the store is away or was a short time ago. The caller holds
 // the lock.
@@ -236,51 +157,32 @@
 	return !m.lost.IsZero() || time.Since(m.regained) < outageGrace
 }
 
-// replace takes a whole list of a kind.
-func (m *Mirror) replace(kind string, revision int64, objects []objectapi.Object) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.storeAnswered()
-	k := m.kinds[kind]
-	if revision < k.revision {
-		return
-	}
-	keys := map[string]bool{}
-	for _, o := range objects {
-		keys[o.Key] = true
-	}
-	k.replace(revision, objects, keys, m.disturbed())
-}
-
-// apply takes one change of a watch.
-func (m *Mirror) apply(kind string, change objectapi.Change) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.storeAnswered()
-	k := m.kinds[kind]
-	if change.Revision <= k.revision {
-		return
-	}
-	k.revision = change.Revision
-	if !change.Bookmark {
-		k.set(Change{Object: change.Object, Deleted: change.Deleted, Lapsed: m.disturbed()})
-	}
+// tell wakes those who wait for news. The caller holds the lock.
+func (m *Mirror) tell() {
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // replace brings the copy to a newer state: objects that are new or changed, and the
-// keys of all.
-func (k *kindCopy) replace(revision int64, changed []objectapi.Object, keys map[string]bool, lapsed bool) {
+// keys of all. It reports whether anything changed.
+func (k *kindCopy) replace(revision int64, changed []objectapi.Object, keys map[string]bool, lapsed bool) bool {
+	news := false
 	for _, o := range changed {
 		if k.objects[o.Key].Version < o.Version {
 			k.set(Change{Object: o})
+			k.changed = max(k.changed, o.Version)
+			news = true
 		}
 	}
 	for key, o := range k.objects {
 		if !keys[key] && o.Version <= revision {
 			k.set(Change{Object: o, Deleted: true, Lapsed: lapsed})
+			k.changed = revision
+			news = true
 		}
 	}
 	k.revision = revision
+	return news
 }
 
 func (k *kindCopy) set(change Change) {
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -12,71 +10,137 @@
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
-// callTimeout bounds one question to a peer.
-const callTimeout = 800 * time.Millisecond
+const (
+	// attendWait is how long one question waits for news at a collector.
+	attendWait = 900 * time.Millisecond
+	// attendSlack is added for the answer's way before the collector counts as silent.
+	attendSlack = 500 * time.Millisecond
+	// staleAge is the age of a daemon's copy from which on it is no source of news, and
+	// that of the own copy from which on this daemon watches the store itself.
+	staleAge = 2500 * time.Millisecond
+	// badTime is how long a daemon is passed over that gave no fresh news.
+	badTime = 3 * time.Second
+	// compareInterval is the pause between two questions of one collector to another.
+	compareInterval = time.Second
+	// alonePause is the wait of a daemon that knows no other.
+	alonePause = 300 * time.Millisecond
+	// triedSources is how many daemons are asked before this one watches the store itself.
+	triedSources = 3
+)
 
 // Register adds the mirror's drpc service.
 func (m *Mirror) Register(mux drpc.Mux) error {
 	return mirrorpb.DRPCRegisterMirror(mux, service{m})
 }
 
-// syncWithPeers asks one peer after the other for what this daemon missed.
-func (m *Mirror) syncWithPeers(ctx context.Context) {
+// attend decides again and again whether this daemon watches the store, and hears news
+// from others.
+func (m *Mirror) attend(ctx context.Context) {
+	self := Member{ID: m.config.Self, FailureDomain: m.config.FailureDomain}
+	failed := 0
 	for next := 0; ctx.Err() == nil; next++ {
-		sleep(ctx, m.syncPause())
-		peers := m.peers()
-		delete(peers, m.config.Self)
-		if len(peers) == 0 {
-			continue
+		ordered := order(m.members())
+		chosen := collectors(ordered, m.isBad)
+		collects := contains(chosen, self.ID)
+		from := m.good(sources(self, ordered, chosen))
+		m.setWatching(collects || m.Age() > staleAge || len(from) == 0 || failed >= triedSources)
+		switch {
+		case len(from) == 0:
+			sleep(ctx, alonePause)
+		case collects && m.Age() < staleAge:
+			m.ask(ctx, from[next%min(len(from), fewCollectors)], 0)
+			sleep(ctx, compareInterval)
+		default:
+			if m.ask(ctx, from[0], attendWait) {
+				failed = 0
+			} else {
+				failed++
+				m.pass(from[0].ID)
+			}
+		}
+	}
+}
+
+func contains(members []Member, id string) bool {
+	for _, m := range members {
+		if m.ID == id {
+			return true
 		}
-		ids := slices.Sorted(maps.Keys(peers))
-		id := ids[next%len(ids)]
-		m.syncWith(ctx, id, peers[id])
 	}
+	return false
+}
+
+func (m *Mirror) isBad(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.bad[id])
+}
+
+// pass leaves a daemon out for a time.
+func (m *Mirror) pass(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bad[id] = time.Now().Add(badTime)
 }
 
-// syncPause is shorter while the store does not answer.
-func (m *Mirror) syncPause() time.Duration {
-	if m.StoreAnswers() {
-		return m.config.SyncInterval
+func (m *Mirror) good(members []Member) []Member {
+	var good []Member
+	for _, member := range members {
+		if !m.isBad(member.ID) {
+			good = append(good, member)
+		}
 	}
-	return m.config.SyncInterval / 4
+	return good
 }
 
-func (m *Mirror) syncWith(ctx context.Context, id, address string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// ask takes a daemon's news. It reports whether that daemon's copy is fresh.
+func (m *Mirror) ask(ctx context.Context, from Member, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait+attendSlack)
 	defer cancel()
-	conn, err := m.conns.Conn(ctx, address)
+	conn, err := m.conns.Conn(ctx, from.Address)
 	if err != nil {
-		return
+		return false
 	}
-	answer, err := mirrorpb.NewDRPCMirrorClient(conn).Sync(ctx, m.question())
+	answer, err := mirrorpb.NewDRPCMirrorClient(conn).Sync(ctx, m.question(wait))
 	if err != nil {
-		return // the next peer is asked soon; silence shows in Heard
+		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heard[id] = time.Now()
-	for _, news := range answer.News {
-		m.take(news)
+	if answer.Disturbed && !m.watching {
+		m.regained = time.Now()
+	}
+	news := false
+	for _, n := range answer.News {
+		if m.take(n) {
+			news = true
+		}
+	}
+	if news {
+		m.tell()
+	}
+	age := time.Duration(answer.AgeMs) * time.Millisecond
+	if fresh := time.Now().Add(-age); fresh.After(m.fresh) {
+		m.fresh = fresh
 	}
+	return age < staleAge
 }
 
-func (m *Mirror) question() *mirrorpb.SyncRequest {
+func (m *Mirror) question(wait time.Duration) *mirrorpb.SyncRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	request := &mirrorpb.SyncRequest{From: m.config.Self}
+	request := &mirrorpb.SyncRequest{From: m.config.Self, WaitMs: wait.Milliseconds()}
 	for _, kind := range m.config.Kinds {
-		request.Known = append(request.Known, &mirrorpb.Known{Kind: kind, Revision: m.kinds[kind].revision})
+		request.Known = append(request.Known, &mirrorpb.Known{Kind: kind.Name, Revision: m.kinds[kind.Name].revision})
 	}
 	return request
 }
 
-// take applies a peer's news. The caller holds the lock.
-func (m *Mirror) take(news *mirrorpb.News) {
+// take applies a daemon's news of one kind. The caller holds the lock.
+func (m *Mirror) take(news *mirrorpb.News) bool {
 	k := m.kinds[news.Kind]
 	if k == nil || news.Revision <= k.revision {
-		return
+		return false
 	}
 	changed := make([]objectapi.Object, 0, len(news.Changed))
 	for _, o := range news.Changed {
@@ -86,33 +150,46 @@
 	for _, key := range news.Keys {
 		keys[key] = true
 	}
-	k.replace(news.Revision, changed, keys, m.disturbed())
+	return k.replace(news.Revision, changed, keys, m.disturbed())
 }
 
-// service answers peers.
+// service answers other daemons.
 type service struct{ m *Mirror }
 
-// Sync implements mirrorpb.DRPCMirrorServer. Kinds of which nothing is known here are
-// left out.
-func (s service) Sync(_ context.Context, request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, error) {
-	m := s.m
+// Sync implements mirrorpb.DRPCMirrorServer.
+func (s service) Sync(ctx context.Context, request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, error) {
+	timer := time.NewTimer(time.Duration(request.WaitMs) * time.Millisecond)
+	defer timer.Stop()
+	for over := request.WaitMs == 0; ; {
+		answer, changed := s.m.newsFor(request)
+		if over || len(answer.News) > 0 {
+			return answer, nil
+		}
+		select {
+		case <-ctx.Done():
+			return answer, nil
+		case <-timer.C:
+			over = true
+		case <-changed:
+		}
+	}
+}
+
+// newsFor returns what the caller does not know, and a channel that is closed when there
+// is more.
+func (m *Mirror) newsFor(request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heard[request.From] = time.Now()
-	answer := &mirrorpb.SyncAnswer{}
+	answer := &mirrorpb.SyncAnswer{AgeMs: m.age().Milliseconds(), Disturbed: m.disturbed()}
 	for _, known := range request.Known {
-		k := m.kinds[known.Kind]
-		if k == nil || k.revision <= known.Revision {
-			continue
-		}
-		if news := k.newsAfter(known); news != nil {
-			answer.News = append(answer.News, news)
+		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.changed > known.Revision || known.Revision == 0) {
+			answer.News = append(answer.News, k.newsAfter(known))
 		}
 	}
-	return answer, nil
+	return answer, m.changed
 }
 
-// newsAfter returns what changed after the caller's revision, nil if nothing did.
+// newsAfter returns what changed after the caller's revision.
 func (k *kindCopy) newsAfter(known *mirrorpb.Known) *mirrorpb.News {
 	news := &mirrorpb.News{Kind: known.Kind, Revision: k.revision}
 	for key, o := range k.objects {
--- /dev/null
+++ b/mirror/watch.go
@@ -0,0 +1,179 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
+)
+
+const (
+	// firstPause and maxPause bound the wait before a failed watch is opened again.
+	firstPause = 100 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// watch follows one kind in the store while this daemon should.
+func (m *Mirror) watch(ctx context.Context, kind Kind) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		on, role := m.watchesStore()
+		if !on {
+			select {
+			case <-ctx.Done():
+			case <-role:
+			}
+			continue
+		}
+		progressed, err := m.follow(ctx, kind)
+		if ctx.Err() != nil || err == nil {
+			continue
+		}
+		if progressed {
+			pause = firstPause
+		}
+		if fault.Is(err, fault.Conflict) {
+			m.log.Log(event.MirrorHistoryGone, event.F("kind", kind.Name))
+			m.forgetRevision(kind.Name)
+			continue
+		}
+		m.storeFailed(kind.Name, err)
+		sleep(ctx, pause)
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// watchesStore reports whether this daemon watches the store, and a channel that is closed
+// when that changes.
+func (m *Mirror) watchesStore() (bool, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watching, m.role
+}
+
+// setWatching starts or stops the watches.
+func (m *Mirror) setWatching(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.watching == on {
+		return
+	}
+	m.watching = on
+	m.log.Log(event.MirrorRole, event.F("watches_store", on))
+	if !on {
+		m.lost = time.Time{} // what it hears from others counts now
+	}
+	close(m.role)
+	m.role = make(chan struct{})
+}
+
+// follow lists the kind if nothing is known of it, then watches it until an error, or
+// until this daemon need not watch any more. It reports whether the store answered.
+func (m *Mirror) follow(ctx context.Context, kind Kind) (progressed bool, err error) {
+	after := m.revision(kind.Name)
+	if after == 0 {
+		list, err := m.store.List(ctx, kind.Name+"/")
+		if err != nil {
+			return false, err
+		}
+		m.replace(kind.Name, list)
+		after, progressed = list.Revision, true
+	}
+	watch, err := m.store.Watch(objectapi.WithWait(ctx, kind.Wait), kind.Name+"/", after)
+	if err != nil {
+		return progressed, err
+	}
+	defer watch.Close()
+	for {
+		change, err := watch.Next(ctx)
+		if err != nil {
+			return progressed, err
+		}
+		progressed = true
+		m.apply(kind.Name, change)
+		if on, _ := m.watchesStore(); change.Bookmark && !on {
+			return true, nil
+		}
+	}
+}
+
+func (m *Mirror) revision(kind string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kinds[kind].revision
+}
+
+// forgetRevision has the kind listed anew; the objects stay until then.
+func (m *Mirror) forgetRevision(kind string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kinds[kind].revision = 0
+}
+
+func (m *Mirror) storeFailed(kind string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lost.IsZero() {
+		m.lost = time.Now()
+		m.log.Log(event.MirrorStoreLost, event.F("kind", kind), event.Err(err))
+	}
+}
+
+// storeAnswered notes an answer about a kind. The copy is as fresh as the kind that was
+// answered least recently. The caller holds the lock.
+func (m *Mirror) storeAnswered(k *kindCopy) {
+	k.answered = time.Now()
+	oldest := k.answered
+	for _, other := range m.kinds {
+		if age := oldest.Sub(other.answered); age > 0 && other.Wait <= urgentWait {
+			oldest = other.answered
+		}
+	}
+	if oldest.After(m.fresh) {
+		m.fresh = oldest
+	}
+	if !m.lost.IsZero() {
+		m.log.Log(event.MirrorStoreRegained, event.F("after", time.Since(m.lost).Round(time.Millisecond).String()))
+		m.lost, m.regained = time.Time{}, time.Now()
+	}
+}
+
+// urgentWait parts the kinds that must be fresh from the others.
+const urgentWait = 1500 * time.Millisecond
+
+// replace takes a whole list of a kind.
+func (m *Mirror) replace(kind string, list objectapi.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.kinds[kind]
+	m.storeAnswered(k)
+	if list.Revision < k.revision {
+		return
+	}
+	keys := make(map[string]bool, len(list.Objects))
+	for _, o := range list.Objects {
+		keys[o.Key] = true
+	}
+	if k.replace(list.Revision, list.Objects, keys, m.disturbed()) {
+		m.tell()
+	}
+}
+
+// apply takes one change of a watch.
+func (m *Mirror) apply(kind string, change objectapi.Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.kinds[kind]
+	m.storeAnswered(k)
+	if change.Revision <= k.revision {
+		return
+	}
+	k.revision = change.Revision
+	if !change.Bookmark {
+		k.changed = change.Revision
+		k.set(Change{Object: change.Object, Deleted: change.Deleted, Lapsed: m.disturbed()})
+		m.tell()
+	}
+}
--- a/objectapi/objectapi.go
+++ b/objectapi/objectapi.go
@@ -105,3 +105,18 @@
 	// Latest returns the newest version of the pool, or fault.NotFound.
 	Latest(ctx context.Context, pool string) (WeightVersion, error)
 }
+
+type waitKey struct{}
+
+// WithWait returns a context whose watches wait for changes no longer than d at a time.
+func WithWait(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, waitKey{}, d)
+}
+
+// WaitOf returns the wait of WithWait, or otherwise.
+func WaitOf(ctx context.Context, otherwise time.Duration) time.Duration {
+	if d, ok := ctx.Value(waitKey{}).(time.Duration); ok && d > 0 {
+		return d
+	}
+	return otherwise
+}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -16,6 +16,11 @@
 	// others can take it; it doubles with each failure in a row.
 	suspicion    = 500 * time.Millisecond
 	maxSuspicion = 8 * time.Second
+	// refusalPause is how long a replica that refused a request gets no work while others
+	// can take it, and loadingPause the same for one that refused it with places free:
+	// it loads weights.
+	refusalPause = 100 * time.Millisecond
+	loadingPause = 400 * time.Millisecond
 	// reportAge is how long a replica's own report of its load counts.
 	reportAge = 1500 * time.Millisecond
 	// speedWeight is the share of the newest observation in the mean pace.
@@ -189,7 +194,10 @@
 	case Answered:
 		r.failures, r.suspect = 0, time.Time{}
 	case Refused:
-		r.suspect = t.now().Add(suspicion / 5)
+		r.suspect = t.now().Add(refusalPause)
+		if load != nil && load.Running+load.Waiting < slotsOf(r) {
+			r.suspect = t.now().Add(loadingPause)
+		}
 	case Broke:
 		r.failures++
 		r.suspect = t.now().Add(min(suspicion<<min(r.failures-1, 10), maxSuspicion))
--- a/waves/lease.go
+++ b/waves/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -49,6 +50,7 @@
 	length      time.Duration
 	fenced      bool // replicas refuse orders with an old token
 	clock       func() time.Duration
+	renewing    atomic.Bool
 
 	mu       sync.Mutex
 	token    int64         // revision of this daemon's last renewal, 0 when it holds nothing
@@ -88,17 +90,25 @@
 	return l.token > 0 && l.until-l.clock() > l.length/2
 }
 
-// acquire takes or renews the lease. It reports whether this daemon holds it.
-func (l *lease) acquire(ctx context.Context) bool {
-	if l.fresh() {
-		return true
-	}
-	l.mu.Lock()
-	token := l.token
-	l.mu.Unlock()
-	if token > 0 {
-		return l.renew(ctx, token, false)
+// keep renews a lease that this daemon holds, beside the orders: the store may be slow or
+// away. Only one renewal is in progress.
+func (l *lease) keep(ctx context.Context) {
+	if l.fresh() || !l.renewing.CompareAndSwap(false, true) {
+		return
 	}
+	go func() {
+		defer l.renewing.Store(false)
+		l.mu.Lock()
+		token := l.token
+		l.mu.Unlock()
+		if token > 0 {
+			l.renew(ctx, token, false)
+		}
+	}()
+}
+
+// acquire takes the lease if it is free or expired. It reports whether this daemon holds it.
+func (l *lease) acquire(ctx context.Context) bool {
 	o, err := l.store.Get(ctx, leaseKey)
 	switch {
 	case fault.Is(err, fault.NotFound):
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -134,10 +134,10 @@
 	if !m.myTurn() {
 		return lookInterval * 2
 	}
-	if !m.lease.acquire(ctx) {
-		if _, held := m.lease.holds(); !held {
-			return lookInterval * 2
-		}
+	if _, held := m.lease.holds(); held {
+		m.lease.keep(ctx)
+	} else if !m.lease.acquire(ctx) {
+		return lookInterval * 2
 	}
 	m.giveOrders(ctx, todo)
 	return lookInterval
