mirror: only what vanished while a daemon was blind is doubted

Ruled out: a late watch (the deletion was heard within 5 ms). Change: the mirror doubts entries that the first answer after an outage leaves out; later deletions are believed at once. Daemons without a fresh collector watch urgent kinds only.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -171,8 +171,8 @@
 	switch {
 	case c.Deleted:
 		id := c.Key[len(platform.ReplicaKind)+1:]
-		d.Tracker.Remove(id, c.Lapsed)
-		d.log.Log(event.EdgeReplicaGone, event.F("replica", id), event.F("lapsed", c.Lapsed))
+		d.Tracker.Remove(id)
+		d.log.Log(event.EdgeReplicaGone, event.F("replica", id))
 	case err != nil:
 		d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
 	default:
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,9 +16,14 @@
 	"github.com/hornbeamtide/hornbeamtide/peer"
 )
 
-// outageGrace is how long after an outage of the store a vanished object may be one whose
-// writer has not reached the store yet.
-const outageGrace = 4 * time.Second
+const (
+	// blindAge is the age of the copy from which on objects that the next answer leaves
+	// out are doubted: they may have lapsed while the store was away.
+	blindAge = 2500 * time.Millisecond
+	// doubtTime is how long a doubted object stays: its writer, if it lives, writes it
+	// again within two seconds.
+	doubtTime = 2500 * time.Millisecond
+)
 
 // Kind is a kind of objects to keep.
 type Kind struct {
@@ -47,9 +52,6 @@
 	objectapi.Object
 
 	Deleted bool
-	// Lapsed says of a deletion that the store was away shortly before: the object's
-	// writer may write it again.
-	Lapsed bool
 }
 
 // Mirror is the copy. Its observers are called in the order of changes, one at a time.
@@ -63,10 +65,9 @@
 	mu       sync.Mutex
 	kinds    map[string]*kindCopy
 	lost     time.Time            // since when the store does not answer, zero while it does
-	regained time.Time            // end of its last outage
 	fresh    time.Time            // when the copy was last known to be the store's state
 	bad      map[string]time.Time // daemons that gave no fresh news, until then
-	watching bool                 // this daemon watches the store
+	watching scope                // what this daemon watches in the store
 	changed  chan struct{}        // closed when a kind changed
 	role     chan struct{}        // closed when watching changed
 }
@@ -79,7 +80,8 @@
 	changed  int64 // revision of the last change
 	objects  map[string]objectapi.Object
 	observe  []func(Change)
-	answered time.Time // when a watch call of this daemon was answered last
+	answered time.Time            // when a watch call of this daemon was answered last
+	doubted  map[string]time.Time // keys of objects that are deleted then
 }
 
 // New returns an empty mirror. Observe must be called before Run.
@@ -90,7 +92,7 @@
 		changed: make(chan struct{}), role: make(chan struct{}),
 	}
 	for _, kind := range config.Kinds {
-		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}}
+		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, doubted: map[string]time.Time{}}
 	}
 	return m
 }
@@ -151,12 +153,6 @@
 // age is Age for a caller that holds the lock.
 func (m *Mirror) age() time.Duration { return time.Since(m.fresh) }
 
-// disturbed reports whether the store is away or was a short time ago. The caller holds
-// the lock.
-func (m *Mirror) disturbed() bool {
-	return !m.lost.IsZero() || time.Since(m.regained) < outageGrace
-}
-
 // tell wakes those who wait for news. The caller holds the lock.
 func (m *Mirror) tell() {
 	close(m.changed)
@@ -164,8 +160,9 @@
 }
 
 // replace brings the copy to a newer state: objects that are new or changed, and the
-// keys of all. It reports whether anything changed.
-func (k *kindCopy) replace(revision int64, changed []objectapi.Object, keys map[string]bool, lapsed bool) bool {
+// keys of all. Objects that are missing after the daemon was blind are doubted first. It
+// reports whether anything changed.
+func (k *kindCopy) replace(revision int64, changed []objectapi.Object, keys map[string]bool, blind bool) bool {
 	news := false
 	for _, o := range changed {
 		if k.objects[o.Key].Version < o.Version {
@@ -175,9 +172,10 @@
 		}
 	}
 	for key, o := range k.objects {
-		if !keys[key] && o.Version <= revision {
-			k.set(Change{Object: o, Deleted: true, Lapsed: lapsed})
-			k.changed = revision
+		if keys[key] || o.Version > revision {
+			continue
+		}
+		if k.remove(o, revision, blind) {
 			news = true
 		}
 	}
@@ -185,7 +183,41 @@
 	return news
 }
 
+// remove deletes an object, or only doubts it after the daemon was blind. It reports
+// whether the object is gone.
+func (k *kindCopy) remove(o objectapi.Object, revision int64, blind bool) bool {
+	if due, doubted := k.doubted[o.Key]; blind || doubted && time.Now().Before(due) {
+		if !doubted {
+			k.doubted[o.Key] = time.Now().Add(doubtTime)
+		}
+		return false
+	}
+	k.changed = max(k.changed, revision)
+	k.set(Change{Object: o, Deleted: true})
+	return true
+}
+
+// settleDoubts deletes the doubted objects whose time is over. It reports whether there
+// were any.
+func (k *kindCopy) settleDoubts() bool {
+	news := false
+	for key, due := range k.doubted {
+		if time.Now().Before(due) {
+			continue
+		}
+		o, held := k.objects[key]
+		delete(k.doubted, key)
+		if held {
+			// Others learn of it with the next revision of the store.
+			k.remove(o, k.revision+1, false)
+			news = true
+		}
+	}
+	return news
+}
+
 func (k *kindCopy) set(change Change) {
+	delete(k.doubted, change.Key)
 	if change.Deleted {
 		delete(k.objects, change.Key)
 	} else {
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -43,7 +43,15 @@
 		chosen := collectors(ordered, m.isBad)
 		collects := contains(chosen, self.ID)
 		from := m.good(sources(self, ordered, chosen))
-		m.setWatching(collects || m.Age() > staleAge || len(from) == 0 || failed >= triedSources)
+		m.settleDoubts()
+		switch {
+		case collects, len(from) == 0:
+			m.setWatching(allKinds)
+		case m.Age() > staleAge, failed >= triedSources:
+			m.setWatching(urgent)
+		default:
+			m.setWatching(nothing)
+		}
 		switch {
 		case len(from) == 0:
 			sleep(ctx, alonePause)
@@ -107,12 +115,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if answer.Disturbed && !m.watching {
-		m.regained = time.Now()
-	}
+	blind := m.age() > blindAge
 	news := false
 	for _, n := range answer.News {
-		if m.take(n) {
+		if m.take(n, blind) {
 			news = true
 		}
 	}
@@ -137,7 +143,7 @@
 }
 
 // take applies a daemon's news of one kind. The caller holds the lock.
-func (m *Mirror) take(news *mirrorpb.News) bool {
+func (m *Mirror) take(news *mirrorpb.News, blind bool) bool {
 	k := m.kinds[news.Kind]
 	if k == nil || news.Revision <= k.revision {
 		return false
@@ -150,7 +156,7 @@
 	for _, key := range news.Keys {
 		keys[key] = true
 	}
-	return k.replace(news.Revision, changed, keys, m.disturbed())
+	return k.replace(news.Revision, changed, keys, blind)
 }
 
 // service answers other daemons.
@@ -180,7 +186,7 @@
 func (m *Mirror) newsFor(request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	answer := &mirrorpb.SyncAnswer{AgeMs: m.age().Milliseconds(), Disturbed: m.disturbed()}
+	answer := &mirrorpb.SyncAnswer{AgeMs: m.age().Milliseconds()}
 	for _, known := range request.Known {
 		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.changed > known.Revision || known.Revision == 0) {
 			answer.News = append(answer.News, k.newsAfter(known))
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -19,7 +19,7 @@
 func (m *Mirror) watch(ctx context.Context, kind Kind) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		on, role := m.watchesStore()
+		on, role := m.watches(kind)
 		if !on {
 			select {
 			case <-ctx.Done():
@@ -45,24 +45,33 @@
 	}
 }
 
-// watchesStore reports whether this daemon watches the store, and a channel that is closed
-// when that changes.
-func (m *Mirror) watchesStore() (bool, <-chan struct{}) {
+// scope is what a daemon watches in the store.
+type scope string
+
+const (
+	nothing  scope = "nothing"
+	urgent   scope = "urgent" // kinds that must be fresh: it found no collector
+	allKinds scope = "all"    // it is a collector
+)
+
+// watches reports whether this daemon watches a kind, and a channel that is closed when
+// that may have changed.
+func (m *Mirror) watches(kind Kind) (bool, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.watching, m.role
+	return m.watching == allKinds || m.watching == urgent && kind.Wait <= urgentWait, m.role
 }
 
-// setWatching starts or stops the watches.
-func (m *Mirror) setWatching(on bool) {
+// setWatching starts or stops watches.
+func (m *Mirror) setWatching(s scope) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.watching == on {
+	if m.watching == s {
 		return
 	}
-	m.watching = on
-	m.log.Log(event.MirrorRole, event.F("watches_store", on))
-	if !on {
+	m.watching = s
+	m.log.Log(event.MirrorRole, event.F("watches", string(s)))
+	if s == nothing {
 		m.lost = time.Time{} // what it hears from others counts now
 	}
 	close(m.role)
@@ -93,7 +102,7 @@
 		}
 		progressed = true
 		m.apply(kind.Name, change)
-		if on, _ := m.watchesStore(); change.Bookmark && !on {
+		if on, _ := m.watches(kind); change.Bookmark && !on {
 			return true, nil
 		}
 	}
@@ -136,7 +145,18 @@
 	}
 	if !m.lost.IsZero() {
 		m.log.Log(event.MirrorStoreRegained, event.F("after", time.Since(m.lost).Round(time.Millisecond).String()))
-		m.lost, m.regained = time.Time{}, time.Now()
+		m.lost = time.Time{}
+	}
+}
+
+// settleDoubts deletes what stayed missing after an outage.
+func (m *Mirror) settleDoubts() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.kinds {
+		if k.settleDoubts() {
+			m.tell()
+		}
 	}
 }
 
@@ -147,7 +167,7 @@
 func (m *Mirror) replace(kind string, list objectapi.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	k := m.kinds[kind]
+	k, blind := m.kinds[kind], m.age() > blindAge
 	m.storeAnswered(k)
 	if list.Revision < k.revision {
 		return
@@ -156,7 +176,7 @@
 	for _, o := range list.Objects {
 		keys[o.Key] = true
 	}
-	if k.replace(list.Revision, list.Objects, keys, m.disturbed()) {
+	if k.replace(list.Revision, list.Objects, keys, blind) {
 		m.tell()
 	}
 }
@@ -166,14 +186,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kinds[kind]
-	m.storeAnswered(k)
+	if change.Bookmark {
+		m.storeAnswered(k)
+	}
+	blind := m.age() > blindAge
 	if change.Revision <= k.revision {
 		return
 	}
 	k.revision = change.Revision
-	if !change.Bookmark {
+	switch {
+	case change.Bookmark:
+		return
+	case change.Deleted:
+		if !k.remove(change.Object, change.Revision, blind) {
+			return
+		}
+	default:
 		k.changed = change.Revision
-		k.set(Change{Object: change.Object, Deleted: change.Deleted, Lapsed: m.disturbed()})
-		m.tell()
+		k.set(Change{Object: change.Object})
 	}
+	m.tell()
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -52,7 +52,7 @@
 	var found []candidate
 	for _, r := range t.replicas {
 		switch {
-		case r.Service != request.Service, r.State != catalog.Ready, t.gone(r), request.Exclude[r.ID]:
+		case r.Service != request.Service, r.State != catalog.Ready, request.Exclude[r.ID]:
 		case request.Model != "" && r.Versions[request.Model] < request.MinVersion:
 		case t.now().Before(r.held):
 		default:
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -25,17 +25,13 @@
 	reportAge = 1500 * time.Millisecond
 	// speedWeight is the share of the newest observation in the mean pace.
 	speedWeight = 0.2
-	// lapseGrace is how long a replica stays whose entry vanished while the platform's
-	// store was away: its entry is back within two seconds if it lives.
-	lapseGrace = 2500 * time.Millisecond
 )
 
 // replica is what is known of one replica.
 type replica struct {
 	catalog.Replica
 
-	lapsed     time.Time // when it is dropped, zero while its entry stands
-	inProgress int       // requests of this daemon
+	inProgress int // requests of this daemon
 	load       upstream.Load
 	loadAt     time.Time
 	ownAtLoad  int // inProgress when load was reported
@@ -70,24 +66,14 @@
 		t.wake()
 		return
 	}
-	known.lapsed = time.Time{}
 	known.Replica = r
 	t.wake()
 }
 
-// Remove takes a replica out. One that lapsed while the store was away gets a grace
-// period, in which its entry may come back.
-func (t *Tracker) Remove(id string, lapsed bool) {
+// Remove takes a replica out.
+func (t *Tracker) Remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.replicas[id]
-	if known == nil {
-		return
-	}
-	if lapsed && known.State == catalog.Ready {
-		known.lapsed = t.now().Add(lapseGrace)
-		return
-	}
 	delete(t.replicas, id)
 }
 
@@ -97,17 +83,13 @@
 	defer t.mu.Unlock()
 	var found []catalog.Replica
 	for _, r := range t.replicas {
-		if r.Service == service && !t.gone(r) {
+		if r.Service == service {
 			found = append(found, r.Replica)
 		}
 	}
 	return found
 }
 
-func (t *Tracker) gone(r *replica) bool {
-	return !r.lapsed.IsZero() && t.now().After(r.lapsed)
-}
-
 // Changed returns a channel that is closed when a place may have become free.
 func (t *Tracker) Changed() <-chan struct{} {
 	t.mu.Lock()
