placement, waves: refusing replicas left alone, replicas parted by demand

Ruled out: queues at the replicas (places were free), memory (no request is near its size). Change: a request that can wait is not sent to a replica that refused or broke a short time ago; replicas are parted among models by the recent work of their trainers, with hysteresis.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -62,6 +62,7 @@
 	run      *run       // nil unless this daemon runs it
 	starting bool       // this daemon is about to run it
 	log      *resultLog // as far as this daemon has read it; the run's while it runs
+	work     float64    // expected output tokens
 	unserved int        // rounds in a row in which nobody ahead of this daemon ran it
 }
 
@@ -108,7 +109,7 @@
 		k = &known{log: newResultLog(job.ID, m.store, m.log)}
 		m.jobs[job.ID] = k
 	}
-	k.job = job
+	k.job, k.work = job, workOf(job)
 	return k
 }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -110,10 +110,10 @@
 				Configuration: d.configuration.Load, Log: d.log,
 			})
 		},
-		func(store *platform.Client, t *placement.Tracker, b *platform.Backends) *waves.Manager {
+		func(store *platform.Client, t *placement.Tracker, b *platform.Backends, batches *batch.Manager) *waves.Manager {
 			return waves.NewManager(waves.Config{
 				Self: s.ID, Incarnation: d.started.UnixMilli(), Lease: s.Orders.Lease, Fenced: s.Orders.Fenced,
-			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Members: d.members, Log: d.log})
+			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Demand: batches.Demand, Members: d.members, Log: d.log})
 		},
 	}
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -16,7 +16,7 @@
 	Model      string          // "" when any will do
 	MinVersion int64           // oldest weight version of Model that may run it
 	Affinity   string          // requests with the same key share a prompt prefix
-	MustFit    bool            // only where a slot is free; the request waits otherwise
+	MustFit    bool            // only where a slot is free and nothing failed lately; the request can wait
 }
 
 // candidate is a replica at the time of a choice.
@@ -33,11 +33,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates := t.candidates(request)
-	candidates = prefer(candidates, t.isTrusted)
 	if request.MustFit {
-		candidates = keep(candidates, hasRoom)
+		candidates = keep(keep(candidates, t.isTrusted), hasRoom)
 	} else {
-		candidates = prefer(candidates, hasRoom)
+		candidates = prefer(prefer(candidates, t.isTrusted), hasRoom)
 	}
 	chosen := choose(candidates, request.Affinity, medianPace(candidates))
 	if chosen == nil {
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -44,7 +44,8 @@
 	Engines       Engines
 	Tracker       *placement.Tracker
 	Configuration func() *catalog.Configuration
-	Members       func() map[string]string // addresses of all daemons by ID
+	Demand        func() map[string]float64 // recent work by model
+	Members       func() map[string]string  // addresses of all daemons by ID
 	Log           *event.Logger
 }
 
@@ -59,8 +60,9 @@
 	mu       sync.Mutex
 	versions map[string]int64 // newest named version by model
 	orders   map[string]*progress
-	behind   int       // replicas that are behind
-	since    time.Time // of the last progress while replicas are behind
+	counts   map[string]map[string]int // replicas of each model, by service
+	behind   int                       // replicas that are behind
+	since    time.Time                 // of the last progress while replicas are behind
 }
 
 // progress is an order that this daemon gave.
@@ -79,7 +81,7 @@
 			store: parts.Store, log: parts.Log, self: config.Self, incarnation: config.Incarnation,
 			length: config.Lease, fenced: config.Fenced, clock: bootTime,
 		},
-		versions: map[string]int64{}, orders: map[string]*progress{},
+		versions: map[string]int64{}, orders: map[string]*progress{}, counts: map[string]map[string]int{},
 	}
 }
 
@@ -149,6 +151,7 @@
 	if configuration == nil {
 		return nil
 	}
+	demand := m.Demand()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var todo []work
@@ -158,7 +161,9 @@
 		}
 		replicas := ready(m.Tracker.Replicas(name))
 		models := m.named(service.Engine.Models)
-		parts := shares(replicas, models)
+		counts := apportion(len(replicas), models, demand, m.counts[name])
+		m.counts[name] = counts
+		parts := shares(replicas, models, counts)
 		for _, model := range models {
 			for _, r := range parts[model] {
 				if r.Versions[model] < m.versions[model] {
