batch, waves: results checked against the store where another daemon may run the batch

Change: a daemon that heard nobody, stood still or whose batch ended reads the store before it says that there is no more; a daemon that takes a batch over tells those ahead of it. The lease keeps its token through an unsettled renewal, is released at a planned stop, and the next in line watch it before their turn.

--- a/batch/log.go
+++ b/batch/log.go
@@ -154,7 +154,10 @@
 	return results, l.changed
 }
 
-// write stores results as they come until ctx ends.
+// settleTime is how long the writing of a chunk goes on after its batch ended.
+const settleTime = 5 * time.Second
+
+// write stores results as they come until ctx ends, and settles the chunk in hand then.
 func (l *resultLog) write(ctx context.Context) {
 	for {
 		wait, any := l.untilDue()
@@ -194,6 +197,8 @@
 // writeChunk writes one chunk and settles it: until it is known whether the chunk stands,
 // nothing else is written in its place.
 func (l *resultLog) writeChunk(ctx context.Context) {
+	ctx, cancel := lingering(ctx, settleTime)
+	defer cancel()
 	key, chunk, value := l.nextChunk()
 	for ctx.Err() == nil {
 		_, err := l.store.Create(ctx, key, value)
@@ -215,6 +220,13 @@
 	}
 }
 
+// lingering returns a context that ends a time after its parent.
+func lingering(parent context.Context, after time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() { time.AfterFunc(after, cancel) })
+	return ctx, func() { stop(); cancel() }
+}
+
 // nextChunk takes pending results for one object. They stay pending until it is confirmed.
 func (l *resultLog) nextChunk() (key string, chunk []Result, value []byte) {
 	l.mu.Lock()
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/boottime"
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
@@ -50,7 +52,9 @@
 	mu       sync.Mutex
 	jobs     map[string]*known
 	draining bool
-	look     chan struct{} // jobs or ends changed
+
+	suspectUntil atomic.Int64  // ns since the Unix epoch: until then others may run this daemon's batches
+	look         chan struct{} // jobs or ends changed
 }
 
 // known is a batch that this daemon has heard of.
@@ -58,6 +62,7 @@
 	job      Job
 	ended    bool
 	endedAt  time.Time  // when this daemon heard of the end
+	loadedAt time.Time  // when the log was read from the store last
 	final    bool       // the whole log was read after the last write could take effect
 	run      *run       // nil unless this daemon runs it
 	starting bool       // this daemon is about to run it
@@ -157,6 +162,7 @@
 	defer m.stop()
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
+	last := boottime.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -164,6 +170,11 @@
 		case <-m.look:
 		case <-ticker.C:
 		}
+		if now := boottime.Now(); now-last > stallLimit {
+			m.suspectUntil.Store(time.Now().Add(suspectTime).UnixNano())
+			m.log.Log(event.BatchStalled, event.F("for", (now-last).Round(time.Millisecond).String()))
+		}
+		last = boottime.Now()
 		m.supervise(ctx)
 	}
 }
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
@@ -113,6 +114,23 @@
 	return &batchpb.Reply{}, nil
 }
 
+// Taken implements batchpb.DRPCBatchServer. The caller has taken this daemon for lost and
+// runs the batch now.
+func (s service) Taken(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
+	s.m.mu.Lock()
+	k := s.m.jobs[request.Id]
+	var r *run
+	if k != nil && k.run != nil && !k.ended {
+		r, k.run = k.run, nil
+	}
+	s.m.mu.Unlock()
+	if r != nil {
+		s.m.log.Log(event.BatchYielded, event.F("batch", request.Id))
+		r.cancel()
+	}
+	return &batchpb.Reply{}, nil
+}
+
 // tellRunners tells the daemons that may run a batch of its end, since they hear of it
 // from the store only later.
 func (m *Manager) tellRunners(id string) {
@@ -155,9 +173,9 @@
 	if k == nil {
 		return &batchpb.ResultsAnswer{}, nil
 	}
-	page, ok := s.m.ownPage(ctx, k, int(request.After), time.Duration(request.WaitMs)*time.Millisecond)
-	if !ok {
-		return &batchpb.ResultsAnswer{}, nil
+	page, runs, err := s.m.runPage(ctx, k, int(request.After), time.Duration(request.WaitMs)*time.Millisecond)
+	if !runs || err != nil {
+		return &batchpb.ResultsAnswer{}, err
 	}
 	value, err := json.Marshal(page)
 	return &batchpb.ResultsAnswer{Known: true, Json: value}, err
--- a/batch/read.go
+++ b/batch/read.go
@@ -14,6 +14,24 @@
 	return items, err
 }
 
+const (
+	// readLimit bounds a read beyond the wait that its client allows.
+	readLimit = 1200 * time.Millisecond
+	// peerLimit bounds a question to the daemon that runs a batch, beyond the wait.
+	peerLimit = 500 * time.Millisecond
+	// askedReaders is how many daemons are asked before the store is read.
+	askedReaders = 2
+	// loadInterval is the least time between two reads of a batch's log from the store:
+	// a position that one daemon showed must be seen everywhere within a second.
+	loadInterval = 800 * time.Millisecond
+	// lateWrite is how long after the end of a batch a write of its results may still
+	// take effect; then its log is read once more and never again.
+	lateWrite = 12 * time.Second
+	// aloneAge is how long a daemon may hear of no other before it may have been taken
+	// for lost, and its batches may be run elsewhere.
+	aloneAge = 1500 * time.Millisecond
+)
+
 // Results returns the results from a position on, waiting for one up to wait. Whatever it
 // returns is in the store: it stays at its position.
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
@@ -23,8 +41,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readLimit)
 	defer cancel()
-	if page, ok := m.ownPage(ctx, k, after, wait); ok {
-		return page, nil
+	if page, known, err := m.runPage(ctx, k, after, wait); known {
+		return page, err
 	}
 	if page, ok := m.runnersPage(ctx, k, after, wait); ok {
 		return page, nil
@@ -32,56 +50,69 @@
 	return m.storedPage(ctx, k, after)
 }
 
-const (
-	// readLimit bounds a read beyond the wait that its client allows.
-	readLimit = 1200 * time.Millisecond
-	// peerLimit bounds a question to the daemon that runs a batch, beyond the wait.
-	peerLimit = 500 * time.Millisecond
-)
+// total is the number of the batch's items. The manager's lock is held.
+func (k *known) total() int {
+	if k.job.Parts > 0 {
+		return k.job.Total
+	}
+	return len(k.job.Items)
+}
 
-// ownPage reads a batch that this daemon runs.
-func (m *Manager) ownPage(ctx context.Context, k *known, after int, wait time.Duration) (Page, bool) {
+// runPage reads a batch that this daemon runs, or ran to its end.
+func (m *Manager) runPage(ctx context.Context, k *known, after int, wait time.Duration) (page Page, runs bool, err error) {
 	m.mu.Lock()
 	r, total := k.run, k.total()
 	m.mu.Unlock()
-	if r == nil || r.ctx.Err() != nil {
-		return Page{}, false // a write that the end cut off may have taken effect
+	if r == nil {
+		return Page{}, false, nil
 	}
+	if r.ctx.Err() == nil && !m.mayRunElsewhere() {
+		r.log.await(ctx, after, total, wait, r.ctx.Done())
+	}
+	if r.ctx.Err() == nil && !m.mayRunElsewhere() {
+		results, _ := r.log.page(after)
+		return Page{Total: total, Results: results}, true, nil
+	}
+	page, err = m.storedPage(ctx, k, after)
+	return page, true, err
+}
+
+// mayRunElsewhere reports whether other daemons may have taken this one for lost.
+func (m *Manager) mayRunElsewhere() bool {
+	return m.mirror.HeardAge() > aloneAge || time.Now().UnixNano() < m.suspectUntil.Load()
+}
+
+// await waits until there is a result at a position.
+func (l *resultLog) await(ctx context.Context, after, total int, wait time.Duration, ended <-chan struct{}) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		results, changed := r.log.page(after)
-		if len(results) > 0 || r.log.size() >= total {
-			return Page{Total: total, Results: results}, true
+		results, changed := l.page(after)
+		if len(results) > 0 || l.size() >= total {
+			return
 		}
 		select {
 		case <-changed:
+			continue
 		case <-timer.C:
-			return Page{Total: total, Results: results}, true
-		case <-r.ctx.Done():
-			return Page{}, false
+		case <-ended:
 		case <-ctx.Done():
-			return Page{Total: total, Results: results}, true
 		}
+		return
 	}
 }
 
-// total is the number of the batch's items. The manager's lock is held.
-func (k *known) total() int {
-	if k.job.Parts > 0 {
-		return k.job.Total
-	}
-	return len(k.job.Items)
-}
-
-// runnersPage asks the daemon that probably runs the batch.
+// runnersPage asks the daemons that probably run the batch.
 func (m *Manager) runnersPage(ctx context.Context, k *known, after int, wait time.Duration) (Page, bool) {
 	m.mu.Lock()
 	job, ended, read := k.job, k.ended, k.log.size()
 	m.mu.Unlock()
-	if ended || read > after {
+	if read > after {
 		return Page{}, false
 	}
+	if ended {
+		wait = 0 // nothing more will come
+	}
 	peers := m.members()
 	for i, id := range m.candidates(job, peers) {
 		if i >= askedReaders || id == m.self {
@@ -94,9 +125,6 @@
 	return Page{}, false
 }
 
-// askedReaders is how many daemons are asked before the store is read.
-const askedReaders = 2
-
 func (m *Manager) askPage(ctx context.Context, address, id string, after int, wait time.Duration) (Page, bool) {
 	if address == "" {
 		return Page{}, false
@@ -117,28 +145,23 @@
 	return page, json.Unmarshal(answer.Json, &page) == nil
 }
 
-// storedPage reads what the store has of a batch that nobody seems to run.
+// storedPage reads what the store has of a batch beyond what this daemon knows of it.
 func (m *Manager) storedPage(ctx context.Context, k *known, after int) (Page, error) {
 	m.mu.Lock()
-	log, total, final := k.log, k.total(), k.final
+	log, total := k.log, k.total()
 	settled := k.ended && time.Since(k.endedAt) > lateWrite
+	fresh := k.final || time.Since(k.loadedAt) < loadInterval
 	m.mu.Unlock()
 	results, _ := log.page(after)
-	if len(results) > 0 || log.size() >= total || final {
+	if len(results) > 0 || log.size() >= total || fresh {
 		return Page{Total: total, Results: results}, nil
 	}
 	if err := log.load(ctx); err != nil {
 		return Page{}, unsure(err)
 	}
-	if settled {
-		m.mu.Lock()
-		k.final = true
-		m.mu.Unlock()
-	}
+	m.mu.Lock()
+	k.loadedAt, k.final = time.Now(), settled
+	m.mu.Unlock()
 	results, _ = log.page(after)
 	return Page{Total: total, Results: results}, nil
 }
-
-// lateWrite is how long after the end of a batch a write of its results may still take
-// effect; then its log is read once more and never again.
-const lateWrite = 12 * time.Second
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -20,6 +20,11 @@
 	// standIns is how many daemons beside the owner look after a batch.
 	standIns = 3
 	askLimit = 400 * time.Millisecond
+	// stallLimit is the pause between two rounds from which on this daemon was suspended
+	// or starved so long that others may have taken it for lost, and suspectTime is how
+	// long it then reads the store before it shows results of its batches.
+	stallLimit  = 1500 * time.Millisecond
+	suspectTime = 5 * time.Second
 )
 
 // candidates are the daemons that should run a batch, best first: the one that accepted
@@ -132,10 +137,28 @@
 	k.job = job
 	k.run = m.start(job, log, texts)
 	k.unserved = 0
+	go m.tellTaken(job)
 	m.log.Log(event.BatchTakenOver, event.F("batch", job.ID), event.F("owner", job.Owner),
 		event.F("listed", log.size()), event.F("texts", len(texts)))
 }
 
+// tellTaken tells the daemons ahead of this one that it runs their batch, in case they
+// were only slow.
+func (m *Manager) tellTaken(job Job) {
+	peers := m.members()
+	for i, id := range m.candidates(job, peers) {
+		if id == m.self || i >= standIns {
+			return
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, askLimit)
+		if conn, err := m.conns.Conn(ctx, peers[id]); err == nil && peers[id] != "" {
+			// One that does not answer reads the store before it shows results again.
+			_, _ = batchpb.NewDRPCBatchClient(conn).Taken(ctx, &batchpb.JobRequest{Id: job.ID})
+		}
+		cancel()
+	}
+}
+
 // Drain hands the batches that this daemon runs to others, with their unfinished texts.
 func (m *Manager) Drain(ctx context.Context) {
 	m.mu.Lock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -205,7 +205,8 @@
 
 // mirrorMembers are the daemons to hear news from: the seeds until others are known.
 func (d *Daemon) mirrorMembers() []mirror.Member {
-	members := []mirror.Member{{ID: d.settings.ID, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}}
+	self := mirror.Member{ID: d.settings.ID, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
+	members := []mirror.Member{self}
 	for _, m := range d.knownMembers() {
 		if m.ID != d.settings.ID {
 			members = append(members, mirror.Member{ID: m.ID, Address: m.PeerAddress, FailureDomain: m.FailureDomain})
@@ -214,8 +215,11 @@
 	if len(members) > 1 {
 		return members
 	}
+	members = nil
 	for _, seed := range d.settings.seeds() {
-		if seed != d.settings.PeerAddress {
+		if seed == self.Address {
+			members = append(members, self)
+		} else {
 			members = append(members, mirror.Member{ID: seed, Address: seed})
 		}
 	}
@@ -239,7 +243,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
 		func(ctx context.Context) error { return d.Server.Serve(ctx, listeners.peer) },
-		d.Mirror.Run, d.Batches.Run, d.Waves.Run, d.announce, d.retire,
+		d.Mirror.Run, d.Batches.Run, d.announce, d.retire,
 	} {
 		running.Go(func() {
 			if err := run(work); err != nil && work.Err() == nil {
@@ -247,6 +251,8 @@
 			}
 		})
 	}
+	// Orders end as soon as a stop is asked for: the lease then goes to the next daemon.
+	running.Go(func() { _ = d.Waves.Run(ctx) })
 	front := d.serveFront(listeners.front)
 	ready := serveHTTP(listeners.ready, platform.Ready(d.ready))
 	metrics := d.serveMetrics(listeners.metric)
@@ -260,7 +266,7 @@
 	}
 	running.Wait()
 	d.Conns.Close()
-	d.log.Log(event.EdgeStopped)
+	d.log.Log(event.EdgeStopped, event.F("store_calls", d.Store.Calls()))
 	return nil
 }
 
--- a/event/batch.go
+++ b/event/batch.go
@@ -13,5 +13,7 @@
 	BatchChunkLost    = define(1506, logrus.InfoLevel, "another daemon wrote the results first", "Two daemons ran the batch; the results in the store count, this daemon's copies of them are dropped.")
 	BatchChunkRefused = define(1507, logrus.ErrorLevel, "results are too large for the store", "A defect of this program. Report it.")
 	BatchUnreadable   = define(1508, logrus.ErrorLevel, "stored batch can't be read", "Another program version or writer made the object; check who wrote it.")
+	BatchYielded      = define(1510, logrus.InfoLevel, "batch yielded", "Another daemon took this one for lost and runs the batch; this one stops its part.")
+	BatchStalled      = define(1511, logrus.WarnLevel, "daemon stood still", "The instance was suspended or starved; for some seconds results are checked against the store.")
 	BatchEnded        = define(1509, logrus.InfoLevel, "batch ended", "Its client ended the batch; what still runs of it is cancelled.")
 )
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -68,6 +68,7 @@
 	fresh    time.Time            // when the copy was last known to be the store's state
 	bad      map[string]time.Time // daemons that gave no fresh news, until then
 	watching scope                // what this daemon watches in the store
+	heard    time.Time            // when another daemon asked or answered last
 	changed  chan struct{}        // closed when a kind changed
 	role     chan struct{}        // closed when watching changed
 }
@@ -89,7 +90,7 @@
 	m := &Mirror{
 		config: config, store: store, conns: conns, members: members, log: log,
 		kinds: map[string]*kindCopy{}, bad: map[string]time.Time{},
-		changed: make(chan struct{}), role: make(chan struct{}),
+		changed: make(chan struct{}), role: make(chan struct{}), fresh: time.Now(), heard: time.Now(), watching: nothing,
 	}
 	for _, kind := range config.Kinds {
 		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, doubted: map[string]time.Time{}}
@@ -153,6 +154,26 @@
 // age is Age for a caller that holds the lock.
 func (m *Mirror) age() time.Duration { return time.Since(m.fresh) }
 
+// HeardAge returns how long ago another daemon asked this one or answered it.
+func (m *Mirror) HeardAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.heard)
+}
+
+// offeredAge is the age of the copy for others: a copy that was never whole is no source.
+func (m *Mirror) offeredAge() time.Duration {
+	for _, k := range m.kinds {
+		if k.revision == 0 {
+			return noAge
+		}
+	}
+	return m.age()
+}
+
+// noAge is the age of a copy that knows nothing.
+const noAge = time.Hour
+
 // tell wakes those who wait for news. The caller holds the lock.
 func (m *Mirror) tell() {
 	close(m.changed)
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -42,12 +42,13 @@
 		ordered := order(m.members())
 		chosen := collectors(ordered, m.isBad)
 		collects := contains(chosen, self.ID)
-		from := m.good(sources(self, ordered, chosen))
+		known := sources(self, ordered, chosen)
+		from := m.good(known)
 		m.settleDoubts()
 		switch {
-		case collects, len(from) == 0:
+		case collects && chosen[0].ID == self.ID, len(known) == 0:
 			m.setWatching(allKinds)
-		case m.Age() > staleAge, failed >= triedSources:
+		case collects, m.Age() > staleAge, failed >= triedSources:
 			m.setWatching(urgent)
 		default:
 			m.setWatching(nothing)
@@ -59,11 +60,14 @@
 			m.ask(ctx, from[next%min(len(from), fewCollectors)], 0)
 			sleep(ctx, compareInterval)
 		default:
-			if m.ask(ctx, from[0], attendWait) {
+			switch m.ask(ctx, from[0], attendWait) {
+			case freshNews:
 				failed = 0
-			} else {
+			case noNews:
+				m.pass(from[0].ID, alonePause)
+			default:
 				failed++
-				m.pass(from[0].ID)
+				m.pass(from[0].ID, badTime)
 			}
 		}
 	}
@@ -85,10 +89,10 @@
 }
 
 // pass leaves a daemon out for a time.
-func (m *Mirror) pass(id string) {
+func (m *Mirror) pass(id string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.bad[id] = time.Now().Add(badTime)
+	m.bad[id] = time.Now().Add(d)
 }
 
 func (m *Mirror) good(members []Member) []Member {
@@ -101,20 +105,31 @@
 	return good
 }
 
-// ask takes a daemon's news. It reports whether that daemon's copy is fresh.
-func (m *Mirror) ask(ctx context.Context, from Member, wait time.Duration) bool {
+// quality is what a daemon is worth as a source of news.
+type quality int
+
+const (
+	noAnswer  quality = iota
+	staleNews         // its copy is old: the store turns it away
+	noNews            // it has just started and knows nothing
+	freshNews
+)
+
+// ask takes a daemon's news.
+func (m *Mirror) ask(ctx context.Context, from Member, wait time.Duration) quality {
 	ctx, cancel := context.WithTimeout(ctx, wait+attendSlack)
 	defer cancel()
 	conn, err := m.conns.Conn(ctx, from.Address)
 	if err != nil {
-		return false
+		return noAnswer
 	}
 	answer, err := mirrorpb.NewDRPCMirrorClient(conn).Sync(ctx, m.question(wait))
 	if err != nil {
-		return false
+		return noAnswer
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.heard = time.Now()
 	blind := m.age() > blindAge
 	news := false
 	for _, n := range answer.News {
@@ -129,7 +144,13 @@
 	if fresh := time.Now().Add(-age); fresh.After(m.fresh) {
 		m.fresh = fresh
 	}
-	return age < staleAge
+	switch {
+	case age >= noAge:
+		return noNews
+	case age >= staleAge:
+		return staleNews
+	}
+	return freshNews
 }
 
 func (m *Mirror) question(wait time.Duration) *mirrorpb.SyncRequest {
@@ -186,7 +207,8 @@
 func (m *Mirror) newsFor(request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	answer := &mirrorpb.SyncAnswer{AgeMs: m.age().Milliseconds()}
+	m.heard = time.Now()
+	answer := &mirrorpb.SyncAnswer{AgeMs: m.offeredAge().Milliseconds()}
 	for _, known := range request.Known {
 		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.changed > known.Revision || known.Revision == 0) {
 			answer.News = append(answer.News, k.newsAfter(known))
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// gatherPause is the wait after an answer before the next call: changes come in
+	// bursts, and each call is priced.
+	gatherPause = 250 * time.Millisecond
 	// firstPause and maxPause bound the wait before a failed watch is opened again.
 	firstPause = 100 * time.Millisecond
 	maxPause   = time.Second
@@ -50,8 +53,8 @@
 
 const (
 	nothing  scope = "nothing"
-	urgent   scope = "urgent" // kinds that must be fresh: it found no collector
-	allKinds scope = "all"    // it is a collector
+	urgent   scope = "urgent" // kinds that must be fresh: it is a collector, or found none
+	allKinds scope = "all"    // it is the first collector, from which the others hear the rest
 )
 
 // watches reports whether this daemon watches a kind, and a channel that is closed when
@@ -102,6 +105,9 @@
 		}
 		progressed = true
 		m.apply(kind.Name, change)
+		if change.Bookmark {
+			sleep(ctx, gatherPause)
+		}
 		if on, _ := m.watches(kind); change.Bookmark && !on {
 			return true, nil
 		}
--- a/waves/lease.go
+++ b/waves/lease.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
@@ -24,21 +22,13 @@
 	takeMargin = 300 * time.Millisecond
 )
 
-// bootTime is a clock that, unlike the runtime's, also counts while the instance is
-// suspended.
-func bootTime() time.Duration {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(now.Nano())
-}
-
 // leaseValue is the content of the lease. Every writing of it differs.
 type leaseValue struct {
 	Holder      string `json:"holder"`
 	Incarnation int64  `json:"incarnation"` // ms since the Unix epoch at the holder's start
 	Renewal     int64  `json:"renewal"`     // counts up within an incarnation
+	Released    bool   `json:"released,omitempty"`
+	QuietMs     int64  `json:"quiet_ms,omitempty"` // since the last order, when it was released
 }
 
 // lease is this daemon's view of the lease.
@@ -56,6 +46,7 @@
 	token    int64         // revision of this daemon's last renewal, 0 when it holds nothing
 	until    time.Duration // on the clock
 	from     time.Duration // no order before: the last holder's may be on their way
+	ordered  time.Duration // when this daemon gave its last order
 	renewals int64
 	seen     int64         // revision of another holder's lease
 	seenAt   time.Duration // when seen was read first
@@ -70,12 +61,40 @@
 	case l.token == 0 || now < l.from:
 		return 0, false
 	case now < l.until:
+		l.ordered = now
 		return l.token, true
 	}
 	// Replicas that check tokens refuse this one as soon as there is a newer holder.
 	return l.token, l.fenced
 }
 
+// release gives the lease up at a planned stop, so that the next holder need not wait for
+// its end. It is best effort: a lease that stays is taken when its time is over.
+func (l *lease) release(ctx context.Context) {
+	l.mu.Lock()
+	token := l.token
+	l.token, l.until = 0, 0
+	l.renewals++
+	value, err := json.Marshal(leaseValue{
+		Holder: l.self, Incarnation: l.incarnation, Renewal: l.renewals, Released: true,
+		QuietMs: (l.clock() - l.ordered).Milliseconds(),
+	})
+	l.mu.Unlock()
+	if token == 0 || err != nil {
+		return
+	}
+	if _, err := l.store.Update(ctx, leaseKey, value, token); err == nil {
+		l.log.Log(event.WaveLeaseReleased, event.F("token", token))
+	}
+}
+
+// observe reads another holder's lease, so that its time runs on this daemon's clock.
+func (l *lease) observe(ctx context.Context) {
+	if o, err := l.store.Get(ctx, leaseKey); err == nil {
+		l.expired(o.Version)
+	}
+}
+
 // lost drops the lease after a replica knew a newer holder.
 func (l *lease) lost() {
 	l.mu.Lock()
@@ -102,7 +121,7 @@
 		token := l.token
 		l.mu.Unlock()
 		if token > 0 {
-			l.renew(ctx, token, false)
+			l.renew(ctx, token, 0)
 		}
 	}()
 }
@@ -112,18 +131,24 @@
 	o, err := l.store.Get(ctx, leaseKey)
 	switch {
 	case fault.Is(err, fault.NotFound):
-		return l.renew(ctx, 0, false)
+		return l.renew(ctx, 0, 0)
 	case err != nil:
 		return false
 	}
 	var current leaseValue
-	if json.Unmarshal(o.Value, &current) == nil && current.Holder == l.self {
-		return l.renew(ctx, o.Version, false)
-	}
-	if !l.expired(o.Version) {
+	readable := json.Unmarshal(o.Value, &current) == nil
+	switch {
+	case readable && current.Holder == l.self:
+		return l.renew(ctx, o.Version, 0)
+	case readable && current.Released:
+		return l.renew(ctx, o.Version, l.length-time.Duration(current.QuietMs)*time.Millisecond)
+	case !l.expired(o.Version):
 		return false
+	case l.fenced:
+		// Orders of the last holder that are still on their way are refused.
+		return l.renew(ctx, o.Version, 0)
 	}
-	return l.renew(ctx, o.Version, true)
+	return l.renew(ctx, o.Version, l.length)
 }
 
 // expired reports whether another holder's lease stood unchanged for its whole time on
@@ -138,8 +163,9 @@
 }
 
 // renew writes the lease from the given revision, 0 for none. The time counts from before
-// the write was sent. taken says that it was another holder's.
-func (l *lease) renew(ctx context.Context, version int64, taken bool) bool {
+// the write was sent. No order is given for the time of quiet, in which the last holder's
+// may be on their way.
+func (l *lease) renew(ctx context.Context, version int64, quiet time.Duration) bool {
 	l.mu.Lock()
 	l.renewals++
 	value, err := json.Marshal(leaseValue{Holder: l.self, Incarnation: l.incarnation, Renewal: l.renewals})
@@ -159,18 +185,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		if fault.Is(err, fault.Conflict) || fault.Is(err, fault.Ambiguous) && version > 0 {
+		if fault.Is(err, fault.Conflict) && l.token > 0 {
 			l.log.Log(event.WaveLeaseLost, event.Err(err))
 			l.token, l.until = 0, 0
 		}
-		return false
+		return false // an unsettled renewal leaves the token as it is, to its end
 	}
 	if l.token == 0 {
-		l.log.Log(event.WaveLeaseTaken, event.F("token", o.Version), event.F("from_another", taken))
+		l.log.Log(event.WaveLeaseTaken, event.F("token", o.Version), event.F("quiet", quiet.String()))
 	}
 	l.token, l.until = o.Version, sent+l.length-leaseMargin
-	if taken {
-		l.from = l.clock() + l.length
-	}
+	l.from = l.clock() + quiet
 	return true
 }
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hornbeamtide/hornbeamtide/boottime"
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
@@ -16,16 +17,20 @@
 
 const (
 	// lookInterval is the pause between two looks while replicas are behind.
-	lookInterval = 150 * time.Millisecond
+	lookInterval = 100 * time.Millisecond
 	// rankDelay is how long replicas must be behind without progress before the next
 	// daemon in line steps in.
 	rankDelay = 2500 * time.Millisecond
+	// observers is how many daemons in line read the lease once there was no progress
+	// for observeAfter, so that its time has run when their turn comes.
+	observers    = 2
+	observeAfter = time.Second
 	// orderLimit bounds one call of a replica.
 	orderLimit = 700 * time.Millisecond
 	// loadTime is how long a load takes at least; a replica is asked about it after that.
-	loadTime = 850 * time.Millisecond
+	loadTime = 900 * time.Millisecond
 	// askInterval is the pause between two questions to a replica that loads.
-	askInterval = 250 * time.Millisecond
+	askInterval = 120 * time.Millisecond
 	// orderPatience is how long an order may show no effect before it is given again.
 	orderPatience = 2500 * time.Millisecond
 )
@@ -63,6 +68,7 @@
 	counts   map[string]map[string]int // replicas of each model, by service
 	behind   int                       // replicas that are behind
 	since    time.Time                 // of the last progress while replicas are behind
+	observed time.Time                 // when another holder's lease was read last; used by Run only
 }
 
 // progress is an order that this daemon gave.
@@ -79,7 +85,7 @@
 		Parts: parts, config: config, wake: make(chan struct{}, 1),
 		lease: &lease{
 			store: parts.Store, log: parts.Log, self: config.Self, incarnation: config.Incarnation,
-			length: config.Lease, fenced: config.Fenced, clock: bootTime,
+			length: config.Lease, fenced: config.Fenced, clock: boottime.Now,
 		},
 		versions: map[string]int64{}, orders: map[string]*progress{}, counts: map[string]map[string]int{},
 	}
@@ -111,6 +117,9 @@
 		}
 		timer.Stop()
 	}
+	released, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderLimit)
+	defer cancel()
+	m.lease.release(released)
 	return nil
 }
 
@@ -133,8 +142,13 @@
 	if len(todo) == 0 {
 		return idleInterval
 	}
-	if !m.myTurn() {
-		return lookInterval * 2
+	rank, still := m.place()
+	if still < time.Duration(rank)*rankDelay {
+		if rank <= observers && still > observeAfter && time.Since(m.observed) > observeAfter {
+			m.observed = time.Now()
+			m.lease.observe(ctx)
+		}
+		return lookInterval * 3
 	}
 	if _, held := m.lease.holds(); held {
 		m.lease.keep(ctx)
@@ -216,11 +230,9 @@
 	}
 }
 
-// myTurn reports whether this daemon is the first in line, or those before it make no
-// progress.
-func (m *Manager) myTurn() bool {
+// place returns this daemon's place in line and for how long there was no progress.
+func (m *Manager) place() (rank int, still time.Duration) {
 	own := xxhash.Sum64String(m.config.Self)
-	rank := 0
 	for id := range m.Members() {
 		if id != m.config.Self && xxhash.Sum64String(id) > own {
 			rank++
@@ -228,7 +240,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.since) >= time.Duration(rank)*rankDelay
+	return rank, time.Since(m.since)
 }
 
 // giveOrders follows the orders in progress and gives new ones while there is room.
