--- a/batch/log.go
+++ b/batch/log.go
@@ -34,6 +34,7 @@
 	confirmed []Result
 	listed    map[string]bool // items in confirmed
 	chunks    int             // confirmed ones
+	contested time.Time       // until then another daemon may write to the log too
 	pending   []Result        // not in a chunk yet
 	waiting   map[string]bool // items in pending
 	due       time.Time       // when pending is written at the latest
@@ -65,21 +66,22 @@
 
 // confirmObject takes over the next chunk as it stands in the store; earlier ones are known.
 func (l *resultLog) confirmObject(o objectapi.Object) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if o.Key != chunkKey(l.id, l.chunks) {
-		return nil
-	}
 	var results []Result
 	if err := json.Unmarshal(o.Value, &results); err != nil {
 		return fault.Wrap(err, fault.Internal, "chunk "+o.Key+" can't be read", "report this defect")
 	}
-	l.confirm(results)
+	l.confirm(o.Key, results)
 	return nil
 }
 
-// confirm appends a chunk that the store holds. The caller holds the lock.
-func (l *resultLog) confirm(results []Result) {
+// confirm appends a chunk that the store holds, unless it is known: the writer and a reader
+// of the store may both come with it.
+func (l *resultLog) confirm(key string, results []Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if key != chunkKey(l.id, l.chunks) {
+		return
+	}
 	l.chunks++
 	for _, r := range results {
 		l.confirmed = append(l.confirmed, r)
@@ -98,6 +100,23 @@
 	l.changed = make(chan struct{})
 }
 
+// contestTime is how long after a take-over, or after another daemon's chunk, a second
+// writer may be at work.
+const contestTime = 8 * time.Second
+
+// contest notes that another daemon may write to the log.
+func (l *resultLog) contest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contested = time.Now().Add(contestTime)
+}
+
+func (l *resultLog) isContested() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.contested)
+}
+
 // add appends a result unless the item has one. urgent says that its group is whole.
 func (l *resultLog) add(r Result, urgent bool) {
 	l.mu.Lock()
@@ -204,9 +223,7 @@
 		_, err := l.store.Create(ctx, key, value)
 		switch {
 		case err == nil:
-			l.mu.Lock()
-			l.confirm(chunk)
-			l.mu.Unlock()
+			l.confirm(key, chunk)
 			return
 		case fault.Is(err, fault.Conflict):
 			if l.takeOver(ctx, key, value) {
@@ -254,6 +271,7 @@
 		return false
 	}
 	if !bytes.Equal(o.Value, own) {
+		l.contest()
 		l.log.Log(event.BatchChunkLost, event.F("batch", l.id), event.F("chunk", key))
 	}
 	return l.confirmObject(o) == nil
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -9,7 +9,6 @@
 	"storj.io/drpc"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
-	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
@@ -117,17 +116,7 @@
 // Taken implements batchpb.DRPCBatchServer. The caller has taken this daemon for lost and
 // runs the batch now.
 func (s service) Taken(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
-	s.m.mu.Lock()
-	k := s.m.jobs[request.Id]
-	var r *run
-	if k != nil && k.run != nil && !k.ended {
-		r, k.run = k.run, nil
-	}
-	s.m.mu.Unlock()
-	if r != nil {
-		s.m.log.Log(event.BatchYielded, event.F("batch", request.Id))
-		r.cancel()
-	}
+	s.m.yield(request.Id)
 	return &batchpb.Reply{}, nil
 }
 
--- a/batch/read.go
+++ b/batch/read.go
@@ -66,10 +66,12 @@
 	if r == nil {
 		return Page{}, false, nil
 	}
-	if r.ctx.Err() == nil && !m.mayRunElsewhere() {
+	sure := r.ctx.Err() == nil && !m.mayRunElsewhere() && !r.log.isContested()
+	if sure {
 		r.log.await(ctx, after, total, wait, r.ctx.Done())
+		sure = r.ctx.Err() == nil
 	}
-	if r.ctx.Err() == nil && !m.mayRunElsewhere() {
+	if sure {
 		results, _ := r.log.page(after)
 		return Page{Total: total, Results: results}, true, nil
 	}
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
 const (
@@ -46,6 +47,9 @@
 // supervise starts the batches that this daemon should run because it accepted them, or
 // because those ahead of it don't.
 func (m *Manager) supervise(ctx context.Context) {
+	if !m.mirror.Known(KindJobs) || !m.mirror.Known(KindEnds) {
+		return // a batch that seems open may have ended
+	}
 	peers := m.members()
 	for _, k := range m.unserved() {
 		job := m.jobOf(k)
@@ -60,9 +64,48 @@
 			}
 		}
 	}
+	m.yieldDoubles(ctx, peers)
 	m.expire(ctx)
 }
 
+// yieldDoubles stops the batches that this daemon runs as a stand-in while one ahead of it
+// runs them too.
+func (m *Manager) yieldDoubles(ctx context.Context, peers map[string]string) {
+	m.mu.Lock()
+	var running []*known
+	for _, k := range m.jobs {
+		if k.run != nil && !k.ended && k.job.Owner != m.self {
+			running = append(running, k)
+		}
+	}
+	m.mu.Unlock()
+	for _, k := range running {
+		job := m.jobOf(k)
+		for i, id := range m.candidates(job, peers) {
+			if id == m.self || i >= standIns {
+				break
+			}
+			if m.askRuns(ctx, peers[id], job.ID) {
+				m.yield(job.ID)
+				break
+			}
+		}
+	}
+}
+
+// yield stops this daemon's run of a batch that another daemon runs.
+func (m *Manager) yield(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.jobs[id]
+	if k == nil || k.run == nil || k.ended {
+		return
+	}
+	m.log.Log(event.BatchYielded, event.F("batch", id))
+	k.run.cancel()
+	k.run = nil
+}
+
 // unserved are the open batches that this daemon does not run.
 func (m *Manager) unserved() []*known {
 	m.mu.Lock()
@@ -127,14 +170,22 @@
 	if err == nil {
 		err = log.load(ctx)
 	}
+	ended := false
+	if err == nil {
+		ended, err = m.hasEnded(ctx, job.ID)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k.starting = false
+	if ended {
+		m.noteEnd(job.ID)
+	}
 	if err != nil || k.ended || m.draining {
 		return // looked at again in the next round
 	}
 	job.Items, job.Parts = items, 0
 	k.job = job
+	log.contest()
 	k.run = m.start(job, log, texts)
 	k.unserved = 0
 	go m.tellTaken(job)
@@ -142,6 +193,15 @@
 		event.F("listed", log.size()), event.F("texts", len(texts)))
 }
 
+// hasEnded asks the store whether a batch ended: the mirror may not have heard of it yet.
+func (m *Manager) hasEnded(ctx context.Context, id string) (bool, error) {
+	_, err := m.store.Get(ctx, endKey(id))
+	if fault.Is(err, fault.NotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // tellTaken tells the daemons ahead of this one that it runs their batch, in case they
 // were only slow.
 func (m *Manager) tellTaken(job Job) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -65,7 +65,8 @@
 	mu       sync.Mutex
 	kinds    map[string]*kindCopy
 	lost     time.Time            // since when the store does not answer, zero while it does
-	fresh    time.Time            // when the copy was last known to be the store's state
+	fresh    time.Time            // when the urgent kinds were last known to be the store's state
+	freshAll time.Time            // the same for all kinds
 	bad      map[string]time.Time // daemons that gave no fresh news, until then
 	watching scope                // what this daemon watches in the store
 	heard    time.Time            // when another daemon asked or answered last
@@ -90,7 +91,7 @@
 	m := &Mirror{
 		config: config, store: store, conns: conns, members: members, log: log,
 		kinds: map[string]*kindCopy{}, bad: map[string]time.Time{},
-		changed: make(chan struct{}), role: make(chan struct{}), fresh: time.Now(), heard: time.Now(), watching: nothing,
+		changed: make(chan struct{}), role: make(chan struct{}), fresh: time.Now(), freshAll: time.Now(), heard: time.Now(), watching: nothing,
 	}
 	for _, kind := range config.Kinds {
 		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, doubted: map[string]time.Time{}}
@@ -151,6 +152,13 @@
 	return m.age()
 }
 
+// ageAll returns how long ago all kinds were last known to be the store's state.
+func (m *Mirror) ageAll() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.freshAll)
+}
+
 // age is Age for a caller that holds the lock.
 func (m *Mirror) age() time.Duration { return time.Since(m.fresh) }
 
@@ -163,6 +171,9 @@
 
 // offeredAge is the age of the copy for others: a copy that was never whole is no source.
 func (m *Mirror) offeredAge() time.Duration {
+	if m.watching != nothing && !m.lost.IsZero() {
+		return max(m.age(), staleAge) // the store turns this daemon away: others should not wait
+	}
 	for _, k := range m.kinds {
 		if k.revision == 0 {
 			return noAge
--- a/mirror/roles.go
+++ b/mirror/roles.go
@@ -19,7 +19,7 @@
 	ordered := append([]Member(nil), members...)
 	sort.Slice(ordered, func(a, b int) bool {
 		wa, wb := weight(ordered[a]), weight(ordered[b])
-		return wa > wb || wa == wb && ordered[a].ID < ordered[b].ID
+		return wa > wb || wa == wb && ordered[a].Address < ordered[b].Address
 	})
 	place := map[string]int{}
 	rank := make(map[string]int, len(ordered))
@@ -31,7 +31,9 @@
 	return ordered
 }
 
-func weight(m Member) uint64 { return xxhash.Sum64String("collector\x00" + m.ID) }
+// weight goes by address: seeds are known by their address before they are known by ID,
+// and all daemons must agree on the first in order.
+func weight(m Member) uint64 { return xxhash.Sum64String("collector\x00" + m.Address) }
 
 // collectors are the daemons that watch the store: the first in order that are not known
 // to be bad.
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -17,7 +17,10 @@
 	attendSlack = 500 * time.Millisecond
 	// staleAge is the age of a daemon's copy from which on it is no source of news, and
 	// that of the own copy from which on this daemon watches the store itself.
-	staleAge = 2500 * time.Millisecond
+	staleAge = 1800 * time.Millisecond
+	// staleAllAge is the age of the kinds that are not urgent from which on this daemon
+	// watches all kinds: daemons disagree about who is first.
+	staleAllAge = 12 * time.Second
 	// badTime is how long a daemon is passed over that gave no fresh news.
 	badTime = 3 * time.Second
 	// compareInterval is the pause between two questions of one collector to another.
@@ -46,7 +49,7 @@
 		from := m.good(known)
 		m.settleDoubts()
 		switch {
-		case collects && chosen[0].ID == self.ID, len(known) == 0:
+		case collects && chosen[0].ID == self.ID, len(known) == 0, m.ageAll() > staleAllAge:
 			m.setWatching(allKinds)
 		case collects, m.Age() > staleAge, failed >= triedSources:
 			m.setWatching(urgent)
@@ -56,7 +59,7 @@
 		switch {
 		case len(from) == 0:
 			sleep(ctx, alonePause)
-		case collects && m.Age() < staleAge:
+		case collects && !m.blind():
 			m.ask(ctx, from[next%min(len(from), fewCollectors)], 0)
 			sleep(ctx, compareInterval)
 		default:
@@ -88,6 +91,13 @@
 	return time.Now().Before(m.bad[id])
 }
 
+// blind reports whether the store turns this daemon away, or its copy is old.
+func (m *Mirror) blind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.lost.IsZero() || m.age() >= staleAge
+}
+
 // pass leaves a daemon out for a time.
 func (m *Mirror) pass(id string, d time.Duration) {
 	m.mu.Lock()
@@ -141,9 +151,8 @@
 		m.tell()
 	}
 	age := time.Duration(answer.AgeMs) * time.Millisecond
-	if fresh := time.Now().Add(-age); fresh.After(m.fresh) {
-		m.fresh = fresh
-	}
+	m.fresh = later(m.fresh, time.Now().Add(-age))
+	m.freshAll = later(m.freshAll, time.Now().Add(-time.Duration(answer.AgeAllMs)*time.Millisecond))
 	switch {
 	case age >= noAge:
 		return noNews
@@ -189,7 +198,7 @@
 	defer timer.Stop()
 	for over := request.WaitMs == 0; ; {
 		answer, changed := s.m.newsFor(request)
-		if over || len(answer.News) > 0 {
+		if over || len(answer.News) > 0 || answer.AgeMs >= staleAge.Milliseconds() {
 			return answer, nil
 		}
 		select {
@@ -208,7 +217,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard = time.Now()
-	answer := &mirrorpb.SyncAnswer{AgeMs: m.offeredAge().Milliseconds()}
+	answer := &mirrorpb.SyncAnswer{AgeMs: m.offeredAge().Milliseconds(), AgeAllMs: time.Since(m.freshAll).Milliseconds()}
 	for _, known := range request.Known {
 		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.changed > known.Revision || known.Revision == 0) {
 			answer.News = append(answer.News, k.newsAfter(known))
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -132,6 +132,7 @@
 	defer m.mu.Unlock()
 	if m.lost.IsZero() {
 		m.lost = time.Now()
+		m.tell() // those who wait for news here must look elsewhere
 		m.log.Log(event.MirrorStoreLost, event.F("kind", kind), event.Err(err))
 	}
 }
@@ -140,15 +141,17 @@
 // answered least recently. The caller holds the lock.
 func (m *Mirror) storeAnswered(k *kindCopy) {
 	k.answered = time.Now()
-	oldest := k.answered
+	oldest, oldestOfAll := k.answered, k.answered
 	for _, other := range m.kinds {
-		if age := oldest.Sub(other.answered); age > 0 && other.Wait <= urgentWait {
+		if other.answered.Before(oldest) && other.Wait <= urgentWait {
 			oldest = other.answered
 		}
+		if other.answered.Before(oldestOfAll) {
+			oldestOfAll = other.answered
+		}
 	}
-	if oldest.After(m.fresh) {
-		m.fresh = oldest
-	}
+	m.fresh = later(m.fresh, oldest)
+	m.freshAll = later(m.freshAll, oldestOfAll)
 	if !m.lost.IsZero() {
 		m.log.Log(event.MirrorStoreRegained, event.F("after", time.Since(m.lost).Round(time.Millisecond).String()))
 		m.lost = time.Time{}
@@ -166,6 +169,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // urgentWait parts the kinds that must be fresh from the others.
 const urgentWait = 1500 * time.Millisecond
 
