--- a/waves/lease.go
+++ b/waves/lease.go
@@ -61,13 +61,23 @@
 	case l.token == 0 || now < l.from:
 		return 0, false
 	case now < l.until:
-		l.ordered = now
 		return l.token, true
 	}
 	// Replicas that check tokens refuse this one as soon as there is a newer holder.
 	return l.token, l.fenced
 }
 
+// use is holds right before an order.
+func (l *lease) use() (int64, bool) {
+	token, held := l.holds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if held {
+		l.ordered = l.clock()
+	}
+	return token, held
+}
+
 // release gives the lease up at a planned stop, so that the next holder need not wait for
 // its end. It is best effort: a lease that stays is taken when its time is over.
 func (l *lease) release(ctx context.Context) {
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -142,21 +142,20 @@
 	if len(todo) == 0 {
 		return idleInterval
 	}
-	rank, still := m.place()
-	if still < time.Duration(rank)*rankDelay {
-		if rank <= observers && still > observeAfter && time.Since(m.observed) > observeAfter {
-			m.observed = time.Now()
-			m.lease.observe(ctx)
-		}
-		return lookInterval * 3
-	}
 	if _, held := m.lease.holds(); held {
 		m.lease.keep(ctx)
-	} else if !m.lease.acquire(ctx) {
-		return lookInterval * 2
+		m.giveOrders(ctx, todo)
+		return lookInterval
+	}
+	rank, still := m.place()
+	switch {
+	case still >= time.Duration(rank)*rankDelay:
+		m.lease.acquire(ctx)
+	case rank <= observers && still > observeAfter && time.Since(m.observed) > observeAfter:
+		m.observed = time.Now()
+		m.lease.observe(ctx)
 	}
-	m.giveOrders(ctx, todo)
-	return lookInterval
+	return 2 * lookInterval
 }
 
 // todo lists the replicas that are behind, grouped by service.
@@ -320,7 +319,7 @@
 	if report.Busy || report.Versions[w.model] >= w.version {
 		return
 	}
-	token, held := m.lease.holds()
+	token, held := m.lease.use()
 	if !held {
 		return
 	}
