--- /dev/null
+++ b/batch/log_test.go
@@ -0,0 +1,176 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
+	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
+)
+
+const testLimit = 10 * time.Second
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testLimit); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain until " + what)
+		}
+	}
+}
+
+// positions checks that no item stands twice and returns the IDs in order.
+func positions(t *testing.T, l *resultLog) []string {
+	t.Helper()
+	results, _ := l.page(0)
+	seen := map[string]bool{}
+	var ids []string
+	for _, r := range results {
+		if seen[r.ID] {
+			t.Errorf("item %s stands at two positions", r.ID)
+		}
+		seen[r.ID] = true
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+func TestTwoWritersShowTheSameLog(t *testing.T) {
+	for _, faults := range []memstore.Faults{{}, {LoseAnswers: 3}, {RefuseWrites: 3}} {
+		store := memstore.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		store.SetFaults(faults)
+		logs := []*resultLog{newResultLog("b", store, nil), newResultLog("b", store, nil)}
+		var group sync.WaitGroup
+		for w, l := range logs {
+			group.Go(func() { l.write(ctx) })
+			group.Go(func() {
+				for i := range 20 {
+					// Both generated the same items, in different orders and with different texts.
+					l.add(Result{ID: fmt.Sprint((i*7 + w*3) % 20), State: Completed, Output: fmt.Sprint("by ", w)}, true)
+					time.Sleep(3 * time.Millisecond)
+				}
+			})
+		}
+		for _, l := range logs {
+			eventually(t, "all items are listed", func() bool {
+				if l.size() < 20 {
+					_ = l.load(ctx)
+				}
+				return l.size() == 20
+			})
+		}
+		cancel()
+		group.Wait()
+		first, second := positions(t, logs[0]), positions(t, logs[1])
+		if strings.Join(first, " ") != strings.Join(second, " ") {
+			t.Errorf("%+v: positions differ:\n%v\n%v", faults, first, second)
+		}
+		a, _ := logs[0].page(0)
+		b, _ := logs[1].page(0)
+		for i := range a {
+			if a[i].Output != b[i].Output {
+				t.Errorf("%+v: position %d holds %q and %q", faults, i, a[i].Output, b[i].Output)
+			}
+		}
+	}
+}
+
+// A reader that loads the log while its writer gets the store's answer must not list the
+// chunk twice (hunt-5364-27 of ksfh-tide).
+func TestChunkIsListedOnceBesideAReader(t *testing.T) {
+	store := memstore.New()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := newResultLog("b", store, nil)
+	go l.write(ctx)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				_ = l.load(ctx)
+			}
+		}
+	})
+	for i := range 60 {
+		l.add(Result{ID: fmt.Sprint(i), State: Completed}, true)
+		time.Sleep(5 * time.Millisecond)
+	}
+	eventually(t, "all items are listed", func() bool { return l.size() >= 60 })
+	close(stop)
+	group.Wait()
+	positions(t, l)
+}
+
+// The chunk in hand is settled after the end of its batch: its write may have taken effect.
+func TestEndSettlesTheChunkInHand(t *testing.T) {
+	store := memstore.New()
+	store.SetFaults(memstore.Faults{Pause: 100 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	l := newResultLog("b", store, nil)
+	ended := make(chan struct{})
+	go func() { l.write(ctx); close(ended) }()
+	l.add(Result{ID: "a", State: Completed}, true)
+	eventually(t, "the chunk is on its way", func() bool { return store.Writes() > 0 || l.size() > 0 })
+	cancel()
+	<-ended
+	stored, err := store.List(t.Context(), resultsKind("b")+"/")
+	if err != nil || l.size() != 1 || len(stored.Objects) != 1 {
+		t.Errorf("%d results known, %d chunks stored, %v", l.size(), len(stored.Objects), err)
+	}
+}
+
+func TestResultIsShownOnlyOnceItIsStored(t *testing.T) {
+	store := memstore.New()
+	store.SetFaults(memstore.Faults{Outage: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := newResultLog("b", store, nil)
+	go l.write(ctx)
+	l.add(Result{ID: "a", State: Completed}, true)
+	time.Sleep(300 * time.Millisecond)
+	if l.size() != 0 {
+		t.Error("a result is shown that the store does not hold")
+	}
+	store.SetFaults(memstore.Faults{})
+	eventually(t, "the result is shown", func() bool { return l.size() == 1 })
+}
+
+func TestLargeBatchIsSplit(t *testing.T) {
+	job := Job{ID: "b"}
+	for i := range 3000 {
+		job.Items = append(job.Items, Item{ID: fmt.Sprint(i), Path: "/x", Body: make([]byte, 1000)})
+	}
+	head, parts, err := job.encode()
+	if err != nil || len(parts) < 2 {
+		t.Fatalf("%d parts, %v", len(parts), err)
+	}
+	decoded, err := decodeJob(head)
+	if err != nil || decoded.Parts != len(parts) || decoded.Total != 3000 || len(decoded.Items) != 0 {
+		t.Fatalf("head %+v, %v", decoded, err)
+	}
+	total := 0
+	for _, part := range append(parts, head) {
+		if len(part) > objectapi.MaxValueBytes {
+			t.Errorf("%d bytes in one object", len(part))
+		}
+	}
+	for _, part := range parts {
+		items, err := decodeItems(part)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += len(items)
+	}
+	if total != 3000 {
+		t.Errorf("%d items in the parts", total)
+	}
+}
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -148,10 +148,7 @@
 
 // Runs implements batchpb.DRPCBatchServer.
 func (s service) Runs(_ context.Context, request *batchpb.JobRequest) (*batchpb.RunsAnswer, error) {
-	s.m.mu.Lock()
-	defer s.m.mu.Unlock()
-	k := s.m.jobs[request.Id]
-	return &batchpb.RunsAnswer{Running: k != nil && (k.run != nil || k.starting)}, nil
+	return &batchpb.RunsAnswer{Running: s.m.Runs(request.Id)}, nil
 }
 
 // Results implements batchpb.DRPCBatchServer.
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -68,6 +68,14 @@
 	m.expire(ctx)
 }
 
+// Runs reports whether this daemon runs a batch.
+func (m *Manager) Runs(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.jobs[id]
+	return k != nil && (k.run != nil || k.starting)
+}
+
 // yieldDoubles stops the batches that this daemon runs as a stand-in while one ahead of it
 // runs them too.
 func (m *Manager) yieldDoubles(ctx context.Context, peers map[string]string) {
--- a/cmd/hornbeamtide/edge.go
+++ b/cmd/hornbeamtide/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -24,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilStopped()
+	ctx, stop := untilStopped(d.Abort)
 	defer stop()
 	return d.Run(ctx)
 }
@@ -41,14 +42,23 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilStopped()
+	ctx, stop := untilStopped(func() {})
 	defer stop()
 	return edge.NewStandby(settings, c.stdout).Run(ctx)
 }
 
-// untilStopped returns a context that ends when a planned stop is asked for. A changed
-// settings file takes effect at the next start.
-func untilStopped() (context.Context, context.CancelFunc) {
+// untilStopped returns a context that ends when a planned stop is asked for; a second
+// signal calls abort. A changed settings file takes effect at the next start.
+func untilStopped(abort func()) (context.Context, context.CancelFunc) {
 	signal.Ignore(syscall.SIGHUP)
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		abort()
+	}()
+	return ctx, stop
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -47,6 +47,7 @@
 
 	configuration atomic.Pointer[catalog.Configuration]
 	draining      atomic.Bool
+	aborted       chan struct{} // closed when the daemon is to end at once
 }
 
 // modules are the parts of a daemon.
@@ -66,7 +67,7 @@
 
 // New builds a daemon that is not running.
 func New(settings Settings, output io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: settings, started: time.Now(), log: newLogger(settings, output)}
+	d := &Daemon{settings: settings, started: time.Now(), log: newLogger(settings, output), aborted: make(chan struct{})}
 	container := dig.New()
 	for _, constructor := range d.constructors() {
 		if err := container.Provide(constructor); err != nil {
@@ -257,9 +258,13 @@
 	ready := serveHTTP(listeners.ready, platform.Ready(d.ready))
 	metrics := d.serveMetrics(listeners.metric)
 	d.log.Log(event.EdgeStarted, event.F("front", d.settings.FrontAddress), event.F("peer", d.settings.PeerAddress))
-	<-ctx.Done()
-	d.stop(work, front)
+	select {
+	case <-ctx.Done():
+		d.stop(work, front)
+	case <-d.aborted:
+	}
 	cancel()
+	_ = front.Close()
 	_ = ready.Close()
 	if metrics != nil {
 		_ = metrics.Close()
@@ -270,6 +275,10 @@
 	return nil
 }
 
+// Abort ends a running daemon at once: nothing is handed over and requests are cut. It may
+// be called once.
+func (d *Daemon) Abort() { close(d.aborted) }
+
 type edgeListeners struct{ front, ready, peer, metric net.Listener }
 
 func (d *Daemon) listen() (edgeListeners, error) {
