relay: a daemon that the store turns away calls it over others

Ruled out: handing such batches over (they would come back when the cut heals). Change: module relay makes single calls over a peer when the store turns a daemon away; the batch's own relays of submissions and ends are gone. A collector judges the other one too.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -180,9 +180,8 @@
 }
 
 const (
-	storePause  = 150 * time.Millisecond // between two tries of a write; doubled maxBackoff times
-	maxBackoff  = 2
-	settleLimit = 2 * time.Second // of one call to a peer
+	storePause = 150 * time.Millisecond // between two tries of a write; doubled maxBackoff times
+	maxBackoff = 2
 )
 
 // Accept stores a batch. After a nil error the batch is kept and will run. An error with
@@ -225,9 +224,6 @@
 			return err
 		}
 		last = err
-		if w.askPeer(ctx, try) {
-			return nil
-		}
 		pause(ctx, storePause<<min(try, maxBackoff))
 	}
 	if w.unsettled {
@@ -289,9 +285,6 @@
 		if err == nil || fault.Is(err, fault.Conflict) {
 			return nil
 		}
-		if m.askPeerToEnd(ctx, id, try) {
-			return nil
-		}
 		if ctx.Err() != nil {
 			return fault.Wrap(err, fault.Ambiguous, "the end of the batch is not settled", "end it again")
 		}
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"storj.io/drpc"
@@ -17,94 +16,9 @@
 	return batchpb.DRPCRegisterBatch(mux, service{m})
 }
 
-// otherPeer returns the address of another daemon, a different one at each try.
-func (m *Manager) otherPeer(try int) string {
-	peers := m.members()
-	delete(peers, m.self)
-	var addresses []string
-	for _, address := range peers {
-		addresses = append(addresses, address)
-	}
-	if len(addresses) == 0 || try > len(addresses) {
-		return ""
-	}
-	return addresses[rand.IntN(len(addresses))]
-}
-
-// askPeer has another daemon store the batch, since the store turns this one away.
-func (w *acceptance) askPeer(ctx context.Context, try int) bool {
-	address := w.otherPeer(try)
-	if address == "" {
-		return false
-	}
-	value, err := json.Marshal(w.job)
-	if err != nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, settleLimit)
-	defer cancel()
-	conn, err := w.conns.Conn(ctx, address)
-	if err != nil {
-		return false
-	}
-	_, err = batchpb.NewDRPCBatchClient(conn).Accept(ctx, &batchpb.JobRequest{Id: w.job.ID, Json: value})
-	if err != nil && fault.OutcomeOf(err) != fault.NotRun {
-		w.unsettled = true
-	}
-	return err == nil
-}
-
-func (m *Manager) askPeerToEnd(ctx context.Context, id string, try int) bool {
-	address := m.otherPeer(try)
-	if address == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, settleLimit)
-	defer cancel()
-	conn, err := m.conns.Conn(ctx, address)
-	if err != nil {
-		return false
-	}
-	_, err = batchpb.NewDRPCBatchClient(conn).End(ctx, &batchpb.JobRequest{Id: id})
-	return err == nil
-}
-
 // service answers other daemons.
 type service struct{ m *Manager }
 
-// Accept implements batchpb.DRPCBatchServer. It does not ask further daemons.
-func (s service) Accept(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
-	job, err := decodeJob(request.Json)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "the batch can't be read", "report this defect", fault.WithOutcome(fault.NotRun))
-	}
-	if s.m.knows(job.ID) {
-		return &batchpb.Reply{}, nil
-	}
-	job.Owner, job.Accepted = s.m.self, time.Now()
-	w := &acceptance{Manager: s.m, job: job}
-	done, err := w.write(ctx)
-	switch {
-	case done:
-		return &batchpb.Reply{}, nil
-	case w.unsettled:
-		return nil, fault.Wrap(err, fault.Ambiguous, "the batch may have been accepted", "submit it again")
-	}
-	return nil, fault.Wrap(err, fault.Unavailable, "the batch was not stored", "ask another daemon", fault.WithOutcome(fault.NotRun))
-}
-
-// End implements batchpb.DRPCBatchServer. It does not ask further daemons.
-func (s service) End(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
-	_, err := s.m.store.Create(ctx, endKey(request.Id), endValue)
-	if err != nil && !fault.Is(err, fault.Conflict) {
-		return nil, err
-	}
-	s.m.mu.Lock()
-	defer s.m.mu.Unlock()
-	s.m.noteEnd(request.Id)
-	return &batchpb.Reply{}, nil
-}
-
 // Cancel implements batchpb.DRPCBatchServer.
 func (s service) Cancel(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
 	s.m.mu.Lock()
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -21,6 +21,8 @@
 	// standIns is how many daemons beside the owner look after a batch.
 	standIns = 3
 	askLimit = 400 * time.Millisecond
+	// handLimit bounds the handing over of a batch.
+	handLimit = 2 * time.Second
 	// stallLimit is the pause between two rounds from which on this daemon was suspended
 	// or starved so long that others may have taken it for lost, and suspectTime is how
 	// long it then reads the store before it shows results of its batches.
@@ -271,7 +273,7 @@
 }
 
 func (m *Manager) giveTo(ctx context.Context, address, id string, texts []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	ctx, cancel := context.WithTimeout(ctx, handLimit)
 	defer cancel()
 	conn, err := m.conns.Conn(ctx, address)
 	if err != nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/relay"
 	"github.com/hornbeamtide/hornbeamtide/waves"
 )
 
@@ -57,6 +58,7 @@
 	Store    *platform.Client
 	Conns    *peer.Pool
 	Server   *peer.Server
+	Relay    *relay.Store
 	Mirror   *mirror.Mirror
 	Tracker  *placement.Tracker
 	Backends *platform.Backends
@@ -78,7 +80,7 @@
 		return nil, fault.Wrap(dig.RootCause(err), fault.Internal, "the modules can't be wired", "report this defect")
 	}
 	d.observe()
-	for _, service := range []interface{ Register(mux drpcMux) error }{d.Mirror, d.Batches} {
+	for _, service := range []interface{ Register(mux drpcMux) error }{d.Mirror, d.Relay, d.Batches} {
 		if err := service.Register(d.Server.Mux()); err != nil {
 			return nil, fault.Wrap(err, fault.Internal, "the drpc services can't be registered", "report this defect")
 		}
@@ -104,14 +106,17 @@
 		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
 			return mirror.New(mirror.Config{Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds()}, store, conns, d.mirrorMembers, d.log)
 		},
+		func(store *platform.Client, conns *peer.Pool) *relay.Store {
+			return relay.New(store, conns, d.otherDaemons, d.log)
+		},
 		func(b *platform.Backends, t *placement.Tracker) *gateway.Gateway { return gateway.New(b, t, d.log) },
-		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends) *batch.Manager {
+		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends) *batch.Manager {
 			return batch.NewManager(batch.Parts{
 				Self: s.ID, Store: store, Mirror: m, Members: d.members, Conns: conns, Tracker: t, Backend: b,
 				Configuration: d.configuration.Load, Log: d.log,
 			})
 		},
-		func(store *platform.Client, t *placement.Tracker, b *platform.Backends, batches *batch.Manager) *waves.Manager {
+		func(store *relay.Store, t *placement.Tracker, b *platform.Backends, batches *batch.Manager) *waves.Manager {
 			return waves.NewManager(waves.Config{
 				Self: s.ID, Incarnation: d.started.UnixMilli(), Lease: s.Orders.Lease, Fenced: s.Orders.Fenced,
 			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Demand: batches.Demand, Members: d.members, Log: d.log})
@@ -204,6 +209,17 @@
 	return members
 }
 
+// otherDaemons are the drpc addresses of the other daemons.
+func (d *Daemon) otherDaemons() []string {
+	var addresses []string
+	for id, address := range d.members() {
+		if id != d.settings.ID {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // mirrorMembers are the daemons to hear news from: the seeds until others are known.
 func (d *Daemon) mirrorMembers() []mirror.Member {
 	self := mirror.Member{ID: d.settings.ID, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -35,7 +35,7 @@
 	}
 	key := platform.MemberKind + "/" + d.settings.ID
 	for ctx.Err() == nil {
-		o, err := d.Store.Create(ctx, key, value)
+		o, err := d.Relay.Create(ctx, key, value)
 		if fault.Is(err, fault.Conflict) {
 			o, err = d.replaceMember(ctx, key, value)
 		}
@@ -51,11 +51,11 @@
 // replaceMember rewrites the object if it says something else, which happens when an
 // instance comes back at another address.
 func (d *Daemon) replaceMember(ctx context.Context, key string, value []byte) (objectapi.Object, error) {
-	current, err := d.Store.Get(ctx, key)
+	current, err := d.Relay.Get(ctx, key)
 	if err != nil || bytes.Equal(current.Value, value) {
 		return current, err
 	}
-	return d.Store.Update(ctx, key, value, current.Version)
+	return d.Relay.Update(ctx, key, value, current.Version)
 }
 
 // retireInterval is the pause between two looks at instances that are to be emptied.
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -60,17 +60,14 @@
 		case len(from) == 0:
 			sleep(ctx, alonePause)
 		case collects && !m.blind():
-			m.ask(ctx, from[next%min(len(from), fewCollectors)], 0)
+			other := from[next%min(len(from), fewCollectors)]
+			m.judge(other, m.ask(ctx, other, 0))
 			sleep(ctx, compareInterval)
 		default:
-			switch m.ask(ctx, from[0], attendWait) {
-			case freshNews:
+			if m.judge(from[0], m.ask(ctx, from[0], attendWait)) {
 				failed = 0
-			case noNews:
-				m.pass(from[0].ID, alonePause)
-			default:
+			} else {
 				failed++
-				m.pass(from[0].ID, badTime)
 			}
 		}
 	}
@@ -91,6 +88,18 @@
 	return time.Now().Before(m.bad[id])
 }
 
+// judge passes over a daemon that gave no fresh news: the next in order takes its place.
+func (m *Mirror) judge(other Member, q quality) bool {
+	switch q {
+	case freshNews:
+	case noNews:
+		m.pass(other.ID, alonePause)
+	default:
+		m.pass(other.ID, badTime)
+	}
+	return q == freshNews
+}
+
 // blind reports whether the store turns this daemon away, or its copy is old.
 func (m *Mirror) blind() bool {
 	m.mu.Lock()
