batch: a trainer's steps run on one daemon, texts that come back are used

Cause: each step ran where it was submitted: every daemon opened connections to every replica and knew only its own requests; groups that came back were generated anew. Change: batches are hosted by rendezvous of model (more hosts for steps over 256 items), with the asked daemon as fallback; texts of earlier steps are used if their versions fit.

--- /dev/null
+++ b/batch/host.go
@@ -0,0 +1,63 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/event"
+)
+
+const (
+	// itemsAHost is how many items of a step one daemon runs before a trainer's steps are
+	// dealt to more daemons in turn.
+	itemsAHost = 256
+	// hostLimit bounds the question to host a batch; a daemon that does not answer is
+	// passed over for shunTime.
+	hostLimit = 700 * time.Millisecond
+	shunTime  = 5 * time.Second
+)
+
+// hostOf chooses the daemon that runs a batch. Load pattern: one trainer's steps follow each
+// other on the same replicas; the daemon that ran the last one has connections to them,
+// knows their load from its own requests and holds the texts of groups that come back.
+func (m *Manager) hostOf(job Job) string {
+	hosts := 1 + len(job.Items)/itemsAHost
+	key := fmt.Sprintf("%s %d", job.Model, job.Step%int64(hosts))
+	members := m.members()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best, bestWeight := m.self, uint64(0)
+	for id := range members {
+		if time.Now().Before(m.shunned[id]) || id == m.self && m.draining {
+			continue
+		}
+		if w := weight(key, id); w > bestWeight {
+			best, bestWeight = id, w
+		}
+	}
+	return best
+}
+
+// hostElsewhere has another daemon store and run the batch.
+func (m *Manager) hostElsewhere(ctx context.Context, host string, job Job) bool {
+	value, err := json.Marshal(job)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, hostLimit)
+	defer cancel()
+	conn, err := m.conns.Conn(ctx, m.members()[host])
+	if err == nil {
+		_, err = batchpb.NewDRPCBatchClient(conn).Host(ctx, &batchpb.JobRequest{Id: job.ID, Json: value})
+	}
+	if err != nil {
+		m.mu.Lock()
+		m.shunned[host] = time.Now().Add(shunTime)
+		m.mu.Unlock()
+		m.log.Log(event.BatchHostPassedOver, event.F("batch", job.ID), event.F("host", host), event.Err(err))
+	}
+	return err == nil
+}
--- a/batch/item.go
+++ b/batch/item.go
@@ -172,6 +172,7 @@
 			if len(text.Events) == 0 {
 				return fault.New(fault.Truncated, "the replica sent no event", "try another replica")
 			}
+			text.Whole = true
 			return nil
 		}
 		if err != nil {
--- a/batch/job.go
+++ b/batch/job.go
@@ -86,6 +86,7 @@
 type Text struct {
 	Events   []string `json:"events"`
 	Versions []int64  `json:"versions"` // in the order of their first event
+	Whole    bool     `json:"whole,omitempty"`
 }
 
 func (t *Text) add(data string, version int64) {
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -52,6 +52,7 @@
 	mu       sync.Mutex
 	jobs     map[string]*known
 	draining bool
+	shunned  map[string]time.Time // daemons that host nothing until then
 
 	suspectUntil atomic.Int64  // ns since the Unix epoch: until then others may run this daemon's batches
 	look         chan struct{} // jobs or ends changed
@@ -78,7 +79,7 @@
 		self: p.Self, store: p.Store, mirror: p.Mirror, members: p.Members, conns: p.Conns, tracker: p.Tracker,
 		backend: p.Backend, configuration: p.Configuration, log: p.Log,
 		scoring: make(chan struct{}, scoresAtOnce),
-		ctx:     ctx, stop: stop, jobs: map[string]*known{}, look: make(chan struct{}, 1),
+		ctx:     ctx, stop: stop, jobs: map[string]*known{}, shunned: map[string]time.Time{}, look: make(chan struct{}, 1),
 	}
 	p.Mirror.Observe(KindJobs, m.jobChanged)
 	p.Mirror.Observe(KindEnds, m.endChanged)
@@ -193,11 +194,26 @@
 	if m.knows(job.ID) {
 		return nil
 	}
+	if host := m.hostOf(job); host != m.self && m.hostElsewhere(ctx, host, job) {
+		return nil
+	}
+	// A host that did not answer may have stored the batch: the write below finds it.
+	return m.acceptHere(ctx, job)
+}
+
+// acceptHere stores a batch that this daemon will run.
+func (m *Manager) acceptHere(ctx context.Context, job Job) error {
 	job.Owner, job.Accepted = m.self, time.Now()
 	w := &acceptance{Manager: m, job: job}
 	return w.run(ctx)
 }
 
+func (m *Manager) isDraining() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.draining
+}
+
 func (m *Manager) knows(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -265,7 +281,7 @@
 	defer w.mu.Unlock()
 	k := w.learn(w.job)
 	if k.run == nil && !k.starting && !k.ended && !w.draining {
-		k.run = w.start(w.job, k.log, nil)
+		k.run = w.start(w.job, k.log, w.carried(w.job))
 	}
 }
 
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -19,6 +19,18 @@
 // service answers other daemons.
 type service struct{ m *Manager }
 
+// Host implements batchpb.DRPCBatchServer.
+func (s service) Host(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
+	job, err := decodeJob(request.Json)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the batch can't be read", "report this defect", fault.WithOutcome(fault.NotRun))
+	}
+	if s.m.isDraining() {
+		return nil, fault.New(fault.Draining, "this daemon stops", "host the batch yourself", fault.WithOutcome(fault.NotRun))
+	}
+	return &batchpb.Reply{}, s.m.acceptHere(ctx, job)
+}
+
 // Cancel implements batchpb.DRPCBatchServer.
 func (s service) Cancel(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
 	s.m.mu.Lock()
--- a/batch/run.go
+++ b/batch/run.go
@@ -21,6 +21,7 @@
 
 	mu     sync.Mutex
 	texts  map[string]*Text // of items that are not finished
+	whole  map[string]*Text // of items that are, for a later batch in which they come back
 	queue  []*task
 	left   map[string]int // unfinished items by group
 	queued chan struct{}  // the queue grew
@@ -38,7 +39,7 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	r := &run{
 		Manager: m, job: job, log: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
-		texts: texts, left: map[string]int{}, queued: make(chan struct{}, 1),
+		texts: texts, whole: map[string]*Text{}, left: map[string]int{}, queued: make(chan struct{}, 1),
 	}
 	if r.texts == nil {
 		r.texts = map[string]*Text{}
@@ -61,6 +62,9 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { r.log.write(r.ctx) })
+	for _, t := range r.takeWhole() {
+		group.Go(func() { r.score(t) })
+	}
 	for r.ctx.Err() == nil {
 		changed := r.tracker.Changed()
 		t, lease := r.next()
@@ -72,6 +76,22 @@
 	}
 }
 
+// takeWhole takes the tasks out of the queue whose text is whole already.
+func (r *run) takeWhole() []*task {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var whole, rest []*task
+	for _, t := range r.queue {
+		if text := r.texts[t.item.ID]; text != nil && text.Whole {
+			whole = append(whole, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	r.queue = rest
+	return whole
+}
+
 // idleLook is the longest time between two looks at what waits.
 const idleLook = 250 * time.Millisecond
 
@@ -151,7 +171,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.texts[item]; t != nil {
-		return Text{Events: append([]string(nil), t.Events...), Versions: append([]int64(nil), t.Versions...)}
+		return *t.copy()
 	}
 	return Text{}
 }
@@ -165,6 +185,9 @@
 // finish lists the result of an item.
 func (r *run) finish(item *Item, result Result) {
 	r.mu.Lock()
+	if text := r.texts[item.ID]; text != nil && text.Whole {
+		r.whole[item.ID] = text
+	}
 	delete(r.texts, item.ID)
 	r.left[item.Group]--
 	whole := r.left[item.Group] <= 0
--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -232,3 +232,59 @@
 		t.Errorf("versions %v, want 1 and 2", got)
 	}
 }
+
+// Groups that come back in a later step are not generated again where their texts are held.
+func TestTextsOfGroupsThatComeBackAreUsed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3)
+	body, ids := submission(2, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	s.checkWhole(s.readAll(s.daemons[1], "lot-1"), ids)
+	for _, d := range s.daemons {
+		d.call("DELETE", "/hornbeamtide/lots/lot-1", "", nil)
+	}
+	again := []byte(strings.Replace(string(body), `"Step":1`, `"Step":2`, 1))
+	if got := s.daemons[2].call("POST", itemPath+"x", "lot-2", again); got.status != http.StatusAccepted {
+		t.Fatalf("submission: %+v", got)
+	}
+	s.checkWhole(s.readAll(s.daemons[1], "lot-2"), ids)
+	runs := 0
+	for _, e := range s.engines {
+		runs += e.Total()
+	}
+	if runs != len(ids) {
+		t.Errorf("%d texts generated for %d items", runs, len(ids))
+	}
+}
+
+func TestTextsTooOldForTheLaterStepAreNotUsed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	body, ids := submission(1, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	s.checkWhole(s.readAll(s.daemons[0], "lot-1"), ids)
+	s.daemons[0].call("DELETE", "/hornbeamtide/lots/lot-1", "", nil)
+	s.store.PutSpec("versions/"+testModel, []byte(`{"Model":"captions","Version":2}`))
+	again, _ := submission(1, 2)
+	s.daemons[0].call("POST", itemPath+"x", "lot-2", []byte(strings.Replace(string(again), `"Step":1`, `"Step":2`, 1)))
+	for _, r := range s.readAll(s.daemons[0], "lot-2").Results {
+		if !slices.Equal(r.Versions, []int64{2}) {
+			t.Errorf("versions %v for a step that allows 2 and newer", r.Versions)
+		}
+	}
+}
+
+func TestStepsOfATrainerRunOnOneDaemon(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3)
+	hosts := map[string]bool{}
+	for i, d := range s.daemons {
+		id := []string{"lot-1", "lot-2", "lot-3"}[i]
+		body, _ := submission(1, 1)
+		d.call("POST", itemPath+"x", id, body)
+		hosts[s.runner(id).settings.ID] = true
+	}
+	if len(hosts) != 1 {
+		t.Errorf("steps run on %v", hosts)
+	}
+}
