waves: busy replicas load every second version

Change: a replica that is one version behind and mostly at work waits until it is two behind; completed loads wake the next one.

--- a/waves/manager.go
+++ b/waves/manager.go
@@ -31,6 +31,8 @@
 	loadTime = 900 * time.Millisecond
 	// askInterval is the pause between two questions to a replica that loads.
 	askInterval = 120 * time.Millisecond
+	// busyPause is how long a replica is left alone whose load can wait.
+	busyPause = 600 * time.Millisecond
 	// orderPatience is how long an order may show no effect before it is given again.
 	orderPatience = 2500 * time.Millisecond
 )
@@ -66,6 +68,7 @@
 	versions map[string]int64 // newest named version by model
 	orders   map[string]*progress
 	counts   map[string]map[string]int // replicas of each model, by service
+	waiting  map[string]time.Time      // replicas whose load can wait until then
 	behind   int                       // replicas that are behind
 	since    time.Time                 // of the last progress while replicas are behind
 	observed time.Time                 // when another holder's lease was read last; used by Run only
@@ -87,7 +90,7 @@
 			store: parts.Store, log: parts.Log, self: config.Self, incarnation: config.Incarnation,
 			length: config.Lease, fenced: config.Fenced, clock: boottime.Now,
 		},
-		versions: map[string]int64{}, orders: map[string]*progress{}, counts: map[string]map[string]int{},
+		versions: map[string]int64{}, orders: map[string]*progress{}, counts: map[string]map[string]int{}, waiting: map[string]time.Time{},
 	}
 }
 
@@ -99,10 +102,7 @@
 		return
 	}
 	m.versions[v.Model] = v.Version
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	m.wakeUp()
 }
 
 // Run gives orders until ctx ends.
@@ -251,7 +251,11 @@
 	for _, w := range todo {
 		m.mu.Lock()
 		p := m.orders[w.replica.ID]
+		waits := w.lag() <= 1 && time.Now().Before(m.waiting[w.replica.ID])
 		m.mu.Unlock()
+		if waits && p == nil {
+			continue
+		}
 		if p == nil || p.version < w.version && time.Since(p.given) > orderPatience {
 			next = append(next, w)
 			continue
@@ -298,6 +302,22 @@
 	delete(m.orders, id)
 	m.mu.Unlock()
 	m.Tracker.Hold(id, 0)
+	m.wakeUp()
+}
+
+// putOff leaves a busy replica alone for a time.
+func (m *Manager) putOff(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting[id] = time.Now().Add(busyPause)
+}
+
+// wakeUp has the replicas looked at.
+func (m *Manager) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (m *Manager) forgetAfter(w work, p *progress) {
@@ -319,6 +339,10 @@
 	if report.Busy || report.Versions[w.model] >= w.version {
 		return
 	}
+	if mayWait(w.version-report.Versions[w.model], report.Running, max(w.replica.Slots, 1)) {
+		m.putOff(w.replica.ID)
+		return
+	}
 	token, held := m.lease.use()
 	if !held {
 		return
--- a/waves/share.go
+++ b/waves/share.go
@@ -115,6 +115,15 @@
 	return sum == n && len(before) == len(models)
 }
 
+// mayWait reports whether a replica need not load the newest version yet. Load pattern:
+// steps that keep the replicas busy. A step takes the version before the newest one, so a
+// replica that is one behind still serves it, and a load stops its running texts for about
+// a second; while most of its slots are at work it waits until it is two behind. An idle
+// replica loads at once, which keeps samples fresh.
+func mayWait(lag int64, running, slots int) bool {
+	return lag <= 1 && 2*running > slots
+}
+
 // atOnce is how many replicas of a service load at the same time: a few load quickly,
 // many slow each other down and leave too few at work.
 func atOnce(replicas int) int { return max(2, replicas/5) }
--- a/waves/waves.go
+++ b/waves/waves.go
@@ -44,6 +44,7 @@
 	Versions map[string]int64 // by model
 	Busy     bool             // an order is in progress
 	Orders   int64            // accepted so far
+	Running  int              // requests in its batch
 }
 
 // Engines calls replicas. Their errors leave open whether an order was accepted.
--- a/waves/waves_test.go
+++ b/waves/waves_test.go
@@ -170,3 +170,24 @@
 		t.Errorf("%d replicas given, %d changed their model", total, moved)
 	}
 }
+
+// The load that mayWait answers: steps every four seconds, a load of one second a replica.
+// With waiting, a busy pool loads half as often and no replica is ever too old for a step.
+func TestBusyReplicasLoadEverySecondVersion(t *testing.T) {
+	for _, row := range []struct {
+		running, loads int
+	}{{8, 5}, {0, 10}} {
+		version, loads := int64(0), 0
+		for newest := int64(1); newest <= 10; newest++ {
+			if lag := newest - version; !mayWait(lag, row.running, 8) {
+				version, loads = newest, loads+1
+			}
+			if newest-version > 1 {
+				t.Errorf("version %d for a step that needs %d", version, newest-1)
+			}
+		}
+		if loads != row.loads {
+			t.Errorf("%d running: %d loads of 10 versions, want %d", row.running, loads, row.loads)
+		}
+	}
+}
