waves: half of a model's replicas load each version; lost members are passed over longer

Ruled out: waves that stand still (two orders a second were given). Change: half of a model's replicas load each version at once, and the model with the fewest usable replicas comes first; silent hosts and collectors are passed over twice as long each time; of two runners the one behind yields, alone.

--- a/batch/host.go
+++ b/batch/host.go
@@ -15,9 +15,11 @@
 	// dealt to more daemons in turn.
 	itemsAHost = 256
 	// hostLimit bounds the question to host a batch; a daemon that does not answer is
-	// passed over for shunTime.
-	hostLimit = 700 * time.Millisecond
-	shunTime  = 5 * time.Second
+	// passed over for shunTime, and twice as long each time, since instances that are gone
+	// for good stay listed.
+	hostLimit   = 700 * time.Millisecond
+	shunTime    = 5 * time.Second
+	maxShunTime = 5 * time.Minute
 )
 
 // hostOf chooses the daemon that runs a batch. Load pattern: one trainer's steps follow each
@@ -31,7 +33,7 @@
 	defer m.mu.Unlock()
 	best, bestWeight := m.self, uint64(0)
 	for id := range members {
-		if time.Now().Before(m.shunned[id]) || id == m.self && m.draining {
+		if time.Now().Before(m.shunned[id].until) || id == m.self && m.draining {
 			continue
 		}
 		if w := weight(key, id); w > bestWeight {
@@ -55,9 +57,21 @@
 	}
 	if err != nil {
 		m.mu.Lock()
-		m.shunned[host] = time.Now().Add(shunTime)
+		pause := min(max(shunTime, 2*m.shunned[host].pause), maxShunTime)
+		m.shunned[host] = shunning{until: time.Now().Add(pause), pause: pause}
 		m.mu.Unlock()
 		m.log.Log(event.BatchHostPassedOver, event.F("batch", job.ID), event.F("host", host), event.Err(err))
 	}
+	if err == nil {
+		m.mu.Lock()
+		delete(m.shunned, host)
+		m.mu.Unlock()
+	}
 	return err == nil
 }
+
+// shunning is the time for which a daemon hosts nothing.
+type shunning struct {
+	until time.Time
+	pause time.Duration
+}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -52,7 +52,7 @@
 	mu       sync.Mutex
 	jobs     map[string]*known
 	draining bool
-	shunned  map[string]time.Time // daemons that host nothing until then
+	shunned  map[string]shunning
 
 	suspectUntil atomic.Int64  // ns since the Unix epoch: until then others may run this daemon's batches
 	look         chan struct{} // jobs or ends changed
@@ -79,7 +79,7 @@
 		self: p.Self, store: p.Store, mirror: p.Mirror, members: p.Members, conns: p.Conns, tracker: p.Tracker,
 		backend: p.Backend, configuration: p.Configuration, log: p.Log,
 		scoring: make(chan struct{}, scoresAtOnce),
-		ctx:     ctx, stop: stop, jobs: map[string]*known{}, shunned: map[string]time.Time{}, look: make(chan struct{}, 1),
+		ctx:     ctx, stop: stop, jobs: map[string]*known{}, shunned: map[string]shunning{}, look: make(chan struct{}, 1),
 	}
 	p.Mirror.Observe(KindJobs, m.jobChanged)
 	p.Mirror.Observe(KindEnds, m.endChanged)
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -40,9 +40,14 @@
 }
 
 // Taken implements batchpb.DRPCBatchServer. The caller has taken this daemon for lost and
-// runs the batch now.
+// runs the batch too, until it hears that this one does.
 func (s service) Taken(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
-	s.m.yield(request.Id)
+	s.m.mu.Lock()
+	k := s.m.jobs[request.Id]
+	s.m.mu.Unlock()
+	if k != nil {
+		k.log.contest()
+	}
 	return &batchpb.Reply{}, nil
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -64,14 +64,14 @@
 
 	mu       sync.Mutex
 	kinds    map[string]*kindCopy
-	lost     time.Time            // since when the store does not answer, zero while it does
-	fresh    time.Time            // when the urgent kinds were last known to be the store's state
-	freshAll time.Time            // the same for all kinds
-	bad      map[string]time.Time // daemons that gave no fresh news, until then
-	watching scope                // what this daemon watches in the store
-	heard    time.Time            // when another daemon asked or answered last
-	changed  chan struct{}        // closed when a kind changed
-	role     chan struct{}        // closed when watching changed
+	lost     time.Time          // since when the store does not answer, zero while it does
+	fresh    time.Time          // when the urgent kinds were last known to be the store's state
+	freshAll time.Time          // the same for all kinds
+	bad      map[string]passing // daemons that gave no fresh news
+	watching scope              // what this daemon watches in the store
+	heard    time.Time          // when another daemon asked or answered last
+	changed  chan struct{}      // closed when a kind changed
+	role     chan struct{}      // closed when watching changed
 }
 
 // kindCopy is the copy of one kind: complete up to a revision of the store.
@@ -90,7 +90,7 @@
 func New(config Config, store objectapi.ObjectStore, conns peer.Conns, members func() []Member, log *event.Logger) *Mirror {
 	m := &Mirror{
 		config: config, store: store, conns: conns, members: members, log: log,
-		kinds: map[string]*kindCopy{}, bad: map[string]time.Time{},
+		kinds: map[string]*kindCopy{}, bad: map[string]passing{},
 		changed: make(chan struct{}), role: make(chan struct{}), fresh: time.Now(), freshAll: time.Now(), heard: time.Now(), watching: nothing,
 	}
 	for _, kind := range config.Kinds {
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -21,8 +21,10 @@
 	// staleAllAge is the age of the kinds that are not urgent from which on this daemon
 	// watches all kinds: daemons disagree about who is first.
 	staleAllAge = 12 * time.Second
-	// badTime is how long a daemon is passed over that gave no fresh news.
-	badTime = 3 * time.Second
+	// badTime is how long a daemon is passed over that gave no fresh news; twice as long
+	// each time that it does not answer, since instances that are gone for good stay listed.
+	badTime    = 3 * time.Second
+	maxBadTime = time.Minute
 	// compareInterval is the pause between two questions of one collector to another.
 	compareInterval = time.Second
 	// alonePause is the wait of a daemon that knows no other.
@@ -85,21 +87,36 @@
 func (m *Mirror) isBad(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Now().Before(m.bad[id])
+	return time.Now().Before(m.bad[id].until)
 }
 
 // judge passes over a daemon that gave no fresh news: the next in order takes its place.
 func (m *Mirror) judge(other Member, q quality) bool {
 	switch q {
 	case freshNews:
+		m.pass(other.ID, 0)
 	case noNews:
 		m.pass(other.ID, alonePause)
+	case noAnswer:
+		m.pass(other.ID, min(max(badTime, 2*m.pauseOf(other.ID)), maxBadTime))
 	default:
 		m.pass(other.ID, badTime)
 	}
 	return q == freshNews
 }
 
+// passing is the time for which a daemon is no source of news.
+type passing struct {
+	until time.Time
+	pause time.Duration
+}
+
+func (m *Mirror) pauseOf(id string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bad[id].pause
+}
+
 // blind reports whether the store turns this daemon away, or its copy is old.
 func (m *Mirror) blind() bool {
 	m.mu.Lock()
@@ -111,7 +128,7 @@
 func (m *Mirror) pass(id string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.bad[id] = time.Now().Add(d)
+	m.bad[id] = passing{until: time.Now().Add(d), pause: d}
 }
 
 func (m *Mirror) good(members []Member) []Member {
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -132,6 +132,9 @@
 	model   string
 	version int64
 	limit   int // loads of its service at once
+
+	halfHasIt bool    // half of the model's replicas have the version or load it
+	usable    float64 // part of the model's replicas that may run its current step
 }
 
 // round looks once at what is behind and orders what it may. It returns the pause until
@@ -178,19 +181,34 @@
 		m.counts[name] = counts
 		parts := shares(replicas, models, counts)
 		for _, model := range models {
-			for _, r := range parts[model] {
-				if r.Versions[model] < m.versions[model] {
-					todo = append(todo, work{r, model, m.versions[model], atOnce(len(replicas))})
-				}
-			}
+			todo = append(todo, m.behindOf(model, parts[model], atOnce(len(replicas)))...)
+		}
+	}
+	sort.Slice(todo, func(a, b int) bool { return urgency(todo[a], todo[b]) })
+	return todo
+}
+
+// behindOf lists the replicas of a model that lack its newest version. The lock is held.
+func (m *Manager) behindOf(model string, replicas []catalog.Replica, limit int) []work {
+	newest := m.versions[model]
+	has, usable := 0, 0
+	for _, r := range replicas {
+		if p := m.orders[r.ID]; r.Versions[model] >= newest || p != nil && p.model == model && p.version >= newest {
+			has++
+		}
+		if r.Versions[model] >= newest-1 {
+			usable++
 		}
 	}
-	sort.Slice(todo, func(a, b int) bool {
-		if todo[a].lag() != todo[b].lag() {
-			return todo[a].lag() > todo[b].lag()
+	var todo []work
+	for _, r := range replicas {
+		if r.Versions[model] < newest {
+			todo = append(todo, work{
+				replica: r, model: model, version: newest, limit: limit,
+				halfHasIt: has >= len(replicas)/2, usable: float64(usable) / float64(len(replicas)),
+			})
 		}
-		return todo[a].replica.ID < todo[b].replica.ID
-	})
+	}
 	return todo
 }
 
@@ -251,7 +269,7 @@
 	for _, w := range todo {
 		m.mu.Lock()
 		p := m.orders[w.replica.ID]
-		waits := w.lag() <= 1 && time.Now().Before(m.waiting[w.replica.ID])
+		waits := w.lag() <= 1 && w.halfHasIt && time.Now().Before(m.waiting[w.replica.ID])
 		m.mu.Unlock()
 		if waits && p == nil {
 			continue
@@ -339,7 +357,7 @@
 	if report.Busy || report.Versions[w.model] >= w.version {
 		return
 	}
-	if mayWait(w.version-report.Versions[w.model], report.Running, max(w.replica.Slots, 1)) {
+	if mayWait(w.version-report.Versions[w.model], w.halfHasIt, report.Running, max(w.replica.Slots, 1)) {
 		m.putOff(w.replica.ID)
 		return
 	}
--- a/waves/share.go
+++ b/waves/share.go
@@ -118,10 +118,26 @@
 // mayWait reports whether a replica need not load the newest version yet. Load pattern:
 // steps that keep the replicas busy. A step takes the version before the newest one, so a
 // replica that is one behind still serves it, and a load stops its running texts for about
-// a second; while most of its slots are at work it waits until it is two behind. An idle
-// replica loads at once, which keeps samples fresh.
-func mayWait(lag int64, running, slots int) bool {
-	return lag <= 1 && 2*running > slots
+// a second. Half of a model's replicas load each version, so that never all are too old for
+// the next one at once; of the others, those with most of their slots at work wait until
+// they are two behind. An idle replica loads at once, which keeps samples fresh.
+func mayWait(lag int64, halfHasIt bool, running, slots int) bool {
+	return lag <= 1 && halfHasIt && 2*running > slots
+}
+
+// urgency orders loads: replicas that are too old for the current step first, and of these
+// those of the model that has the smallest part of its replicas at work.
+func urgency(a, b work) bool {
+	oldA, oldB := a.lag() > 1, b.lag() > 1
+	switch {
+	case oldA != oldB:
+		return oldA
+	case oldA && a.usable != b.usable:
+		return a.usable < b.usable
+	case a.lag() != b.lag():
+		return a.lag() > b.lag()
+	}
+	return a.replica.ID < b.replica.ID
 }
 
 // atOnce is how many replicas of a service load at the same time: a few load quickly,
