demo: the path of the users' platform, in one command and without the kit

Cause: make demo showed the product's own interface only. Change: standin edge-demo runs three edge daemons as processes on the stand-in store and replicas: callers, four steps with new weights each, one daemon killed; counted outside.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 demo: build
 	./bin/standin demo
+	./bin/standin edge-demo
 
 bench: build
 	./bin/standin bench
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	addCommand(parser, "plain", "Run one plain service", &plainCommand{})
 	addCommand(parser, "bench", "Measure ways of deciding", &benchCommand{})
 	addCommand(parser, "demo", "Run the whole path on loopback", &demoCommand{})
+	addCommand(parser, "edge-demo", "Run the path of the users' platform on loopback", &edgeDemoCommand{})
 	addCommand(parser, "slopes", "Measure what daemons cost at several fleet sizes", &slopesCommand{})
 	_, err := parser.Parse()
 	var failure *flags.Error
