event, batch: the log never holds work up; items that wait too long are given up

Cause: log lines were written where they arose, so a slow reader would stop requests; a batch whose client never ends it ran for ever.

--- a/batch/run.go
+++ b/batch/run.go
@@ -66,6 +66,7 @@
 		group.Go(func() { r.score(t) })
 	}
 	for r.ctx.Err() == nil {
+		r.giveUpLate()
 		changed := r.tracker.Changed()
 		t, lease := r.next()
 		if t != nil {
@@ -92,6 +93,25 @@
 	return whole
 }
 
+// giveUpLate lists the waiting items as errored once their route keeps them no longer.
+func (r *run) giveUpLate() {
+	r.mu.Lock()
+	var late []*task
+	var rest []*task
+	for _, t := range r.queue {
+		if route, ok := r.routeOf(t.item); ok && route.Retention > 0 && time.Since(r.job.Accepted) > route.Retention {
+			late = append(late, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	r.queue = rest
+	r.mu.Unlock()
+	for _, t := range late {
+		r.finish(t.item, Result{ID: t.item.ID, State: Errored})
+	}
+}
+
 // idleLook is the longest time between two looks at what waits.
 const idleLook = 250 * time.Millisecond
 
--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -288,3 +288,23 @@
 		t.Errorf("steps run on %v", hosts)
 	}
 }
+
+func TestItemsThatWaitTooLongAreGivenUp(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	for _, e := range s.engines {
+		e.SetFaults(fakereplica.Faults{Full: true})
+	}
+	s.configure(2, map[string]any{
+		"Name": "brief", "Hostname": testHost, "PathPrefix": itemPath + "item-0-", "Kind": "rollout", "Backend": modelPool,
+		"TimeoutMs": 4000, "MaxAttempts": 3, "RetentionS": 0.5,
+	})
+	s.eventually("the configuration is in force", func() bool { return s.daemons[0].configuration.Load().Version == 2 })
+	body, _ := submission(1, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	for _, r := range s.readAll(s.daemons[0], "lot-1").Results {
+		if r.State != "errored" {
+			t.Errorf("result %+v", r)
+		}
+	}
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -35,6 +35,8 @@
 	// drainNotice is how long connections are still taken after a stop was asked for: the
 	// platform's balancer needs two seconds to notice.
 	drainNotice = 2500 * time.Millisecond
+	// logFlush bounds the writing of what is left of the log at the end.
+	logFlush = 200 * time.Millisecond
 	// stopMargin is kept of the time for a stop.
 	stopMargin = 700 * time.Millisecond
 )
@@ -48,6 +50,7 @@
 
 	configuration atomic.Pointer[catalog.Configuration]
 	draining      atomic.Bool
+	output        *event.AsyncWriter
 	aborted       chan struct{} // closed when the daemon is to end at once
 }
 
@@ -69,7 +72,8 @@
 
 // New builds a daemon that is not running.
 func New(settings Settings, output io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: settings, started: time.Now(), log: newLogger(settings, output), aborted: make(chan struct{})}
+	d := &Daemon{settings: settings, started: time.Now(), output: event.NewAsyncWriter(output), aborted: make(chan struct{})}
+	d.log = newLogger(settings, d.output)
 	container := dig.New()
 	for _, constructor := range d.constructors() {
 		if err := container.Provide(constructor); err != nil {
@@ -288,6 +292,7 @@
 	running.Wait()
 	d.Conns.Close()
 	d.log.Log(event.EdgeStopped, event.F("store_calls", d.Store.Calls()))
+	d.output.Close(logFlush)
 	return nil
 }
 
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -107,6 +107,7 @@
 		return nil
 	}
 	vars := new(expvar.Map).Init()
+	vars.Set("log_dropped", expvar.Func(func() any { return d.output.Dropped() }))
 	vars.Set("store", expvar.Func(func() any { return d.Store.Calls() }))
 	vars.Set("gateway", expvar.Func(func() any { return d.Gateway.Counters() }))
 	vars.Set("connections", expvar.Func(func() any { return d.Backends.Opened() }))
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -16,3 +16,6 @@
 	DaemonRequest      = define(110, logrus.DebugLevel, "request ended", "One HTTP request with its id, status and duration.")
 	DaemonPanic        = define(111, logrus.ErrorLevel, "request handler panicked", "A defect of this program; the request ended with kind internal. Report the stack.")
 )
+
+// LogDropped is written by AsyncWriter.
+var LogDropped = define(112, logrus.WarnLevel, "log entries dropped", "The reader of the log is slower than the daemon writes; that many entries are lost.")
