batch: the items of a batch stand apart from its head; memory limit

Change: heads over 8 KB leave their items in parts, which only runners read; bodies are asked of the runner; the heap keeps to 60 percent of the process's memory.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -41,8 +41,8 @@
 			tokens += unknownLength
 		}
 	}
-	if job.Parts > 0 && len(job.Items) == 0 {
-		tokens = float64(job.Total) * unknownLength
+	if len(job.Items) == 0 {
+		return job.Work
 	}
 	return tokens
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -36,6 +36,7 @@
 	Items      []Item    `json:"items,omitempty"`
 	Parts      int       `json:"parts,omitempty"` // objects that hold the items, 0 when they are here
 	Total      int       `json:"total,omitempty"` // items in the parts
+	Work       float64   `json:"work,omitempty"`  // expected output tokens of the items
 }
 
 // Item is one sample to generate.
@@ -104,6 +105,9 @@
 	maxItems = 20_000
 	// partBytes bounds the items in one object, with room for the store's own encoding.
 	partBytes = objectapi.MaxValueBytes / 2
+	// headBytes bounds a head with its items: every daemon keeps all heads, but only the
+	// runner of a batch needs its items.
+	headBytes = 8 << 10
 )
 
 // Validate checks what a client sent.
@@ -145,8 +149,9 @@
 // encode returns the objects of a job: the head, and parts if the items need more than
 // one object.
 func (j Job) encode() (head []byte, parts [][]byte, err error) {
+	j.Work = workOf(j)
 	head, err = json.Marshal(j)
-	if err != nil || len(head) <= partBytes {
+	if err != nil || len(head) <= headBytes {
 		return head, nil, err
 	}
 	var part []Item
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -260,6 +260,7 @@
 			return false, err // without its head a part is nothing
 		}
 	}
+	w.job.Parts = len(parts)
 	created, err := w.store.Create(ctx, jobKey(w.job.ID), head)
 	switch {
 	case err == nil:
@@ -337,7 +338,10 @@
 
 // items returns a batch's items, from its parts if it has any.
 func (m *Manager) items(ctx context.Context, job Job) ([]Item, error) {
-	items := job.Items
+	if len(job.Items) > 0 {
+		return job.Items, nil
+	}
+	var items []Item
 	for i := range job.Parts {
 		o, err := m.store.Get(ctx, partKey(job.ID, i))
 		if err != nil {
@@ -358,16 +362,29 @@
 	if err != nil {
 		return nil, err
 	}
-	items, err := m.items(ctx, m.jobOf(k))
+	job := m.jobOf(k)
+	if len(job.Items) == 0 {
+		if body, ok := m.runnersBody(ctx, job, item); ok {
+			return body, nil
+		}
+	}
+	items, err := m.items(ctx, job)
 	if err != nil {
 		return nil, err
 	}
+	if body, ok := bodyOf(items, item); ok {
+		return body, nil
+	}
+	return nil, fault.New(fault.NotFound, "the batch has no item "+item, "check its id")
+}
+
+func bodyOf(items []Item, id string) ([]byte, bool) {
 	for _, i := range items {
-		if i.ID == item {
-			return i.Body, nil
+		if i.ID == id {
+			return i.Body, true
 		}
 	}
-	return nil, fault.New(fault.NotFound, "the batch has no item "+item, "check its id")
+	return nil, false
 }
 
 func (m *Manager) find(ctx context.Context, id string) (*known, error) {
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -98,6 +98,18 @@
 	return &batchpb.ResultsAnswer{Known: true, Json: value}, err
 }
 
+// Body implements batchpb.DRPCBatchServer.
+func (s service) Body(_ context.Context, request *batchpb.BodyRequest) (*batchpb.BodyAnswer, error) {
+	s.m.mu.Lock()
+	var items []Item
+	if k := s.m.jobs[request.Id]; k != nil {
+		items = k.job.Items
+	}
+	s.m.mu.Unlock()
+	body, known := bodyOf(items, request.Item)
+	return &batchpb.BodyAnswer{Known: known, Body: body}, nil
+}
+
 // TakeOver implements batchpb.DRPCBatchServer.
 func (s service) TakeOver(ctx context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
 	var texts map[string]*Text
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -193,7 +193,7 @@
 	if err != nil || k.ended || m.draining {
 		return // looked at again in the next round
 	}
-	job.Items, job.Parts = items, 0
+	job.Items = items
 	k.job = job
 	log.contest()
 	k.run = m.start(job, log, texts)
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 	// drainNotice is how long connections are still taken after a stop was asked for: the
 	// platform's balancer needs two seconds to notice.
 	drainNotice = 2500 * time.Millisecond
+	// memoryShare is the part of the process's memory that the heap keeps to; the rest is
+	// for what the runtime does not count and for bytes in sockets.
+	memoryShare = 0.6
 	// logFlush bounds the writing of what is left of the log at the end.
 	logFlush = 200 * time.Millisecond
 	// stopMargin is kept of the time for a stop.
@@ -259,6 +263,9 @@
 	if err != nil {
 		return err
 	}
+	if d.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(d.settings.MemoryMB<<20)))
+	}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var running sync.WaitGroup
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,6 +24,7 @@
 	FailureDomain string
 	Seeds         string // drpc addresses of some daemons, separated by commas
 	StopTime      time.Duration
+	MemoryMB      int // of the process, 0 for no limit
 
 	Store  StoreSettings
 	Orders OrderSettings
@@ -94,6 +95,7 @@
 			inifile.Required(inifile.Name("region", "Region of this instance.", func(s *Settings) *string { return &s.Region })),
 			inifile.Required(inifile.Name("failure_domain", "Failure domain of this instance.", func(s *Settings) *string { return &s.FailureDomain })),
 			inifile.Key("seeds", "list of IP:port, separated by commas", "", "addresses", "Peer addresses of some daemons, known before the store answers.", setSeeds, func(s *Settings) string { return s.Seeds }),
+			inifile.Int("memory", "MB", 0, 0, 1<<20, "Memory of the process; garbage is collected so that it stays below. 0 for no limit.", func(s *Settings) *int { return &s.MemoryMB }),
 			inifile.Duration("stop_time", 8*time.Second, shortest, longest, "A planned stop may take this long.", func(s *Settings) *time.Duration { return &s.StopTime }),
 		},
 	}
