--- a/batch/item.go
+++ b/batch/item.go
@@ -10,8 +10,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/gateway"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -34,7 +36,7 @@
 		return route.Split[0].Service
 	}
 	point := float64(xxhash.Sum64String(item)%1000) / 1000
-	return ChooseService(route.Split, point)
+	return gateway.ChooseService(route.Split, point)
 }
 
 func (r *run) routeOf(item *Item) (*catalog.Route, bool) {
@@ -62,7 +64,7 @@
 			t.tried = map[string]bool{}
 		}
 		t.tried[lease.ID] = true
-		pause(r.ctx, refusedPause)
+		clock.Sleep(r.ctx, refusedPause)
 		r.again(t)
 	}
 }
--- a/batch/log.go
+++ b/batch/log.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
@@ -233,7 +234,7 @@
 			l.log.Log(event.BatchChunkRefused, event.F("batch", l.id), event.F("chunk", key), event.Err(err))
 			return
 		}
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -276,12 +277,3 @@
 	}
 	return l.confirmObject(o) == nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -6,11 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hornbeamtide/hornbeamtide/boottime"
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/gateway"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
@@ -18,9 +17,6 @@
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
 
-// ChooseService is the gateway's choice among a route's services.
-var ChooseService = gateway.ChooseService
-
 // Parts are what a Manager works with.
 type Parts struct {
 	Self          string // ID of this daemon
@@ -60,16 +56,17 @@
 
 // known is a batch that this daemon has heard of.
 type known struct {
-	job      Job
-	ended    bool
-	endedAt  time.Time  // when this daemon heard of the end
-	loadedAt time.Time  // when the log was read from the store last
-	final    bool       // the whole log was read after the last write could take effect
-	run      *run       // nil unless this daemon runs it
-	starting bool       // this daemon is about to run it
-	log      *resultLog // as far as this daemon has read it; the run's while it runs
-	work     float64    // expected output tokens
-	unserved int        // rounds in a row in which nobody ahead of this daemon ran it
+	job       Job
+	ended     bool
+	endStored bool       // the store holds the end
+	endedAt   time.Time  // when this daemon heard of the end
+	loadedAt  time.Time  // when the log was read from the store last
+	final     bool       // the whole log was read after the last write could take effect
+	run       *run       // nil unless this daemon runs it
+	starting  bool       // this daemon is about to run it
+	log       *resultLog // as far as this daemon has read it; the run's while it runs
+	work      float64    // expected output tokens
+	unserved  int        // rounds in a row in which nobody ahead of this daemon ran it
 }
 
 // NewManager returns a manager that observes the mirror.
@@ -126,7 +123,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteEnd(nameOf(KindEnds, c.Key))
+	id := nameOf(KindEnds, c.Key)
+	m.noteEnd(id)
+	m.jobs[id].endStored = true
 }
 
 // noteEnd cancels what runs of an ended batch. The caller holds the lock.
@@ -163,7 +162,7 @@
 	defer m.stop()
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
-	last := boottime.Now()
+	last := clock.BootTime()
 	for {
 		select {
 		case <-ctx.Done():
@@ -171,121 +170,15 @@
 		case <-m.look:
 		case <-ticker.C:
 		}
-		if now := boottime.Now(); now-last > stallLimit {
+		if now := clock.BootTime(); now-last > stallLimit {
 			m.suspectUntil.Store(time.Now().Add(suspectTime).UnixNano())
 			m.log.Log(event.BatchStalled, event.F("for", (now-last).Round(time.Millisecond).String()))
 		}
-		last = boottime.Now()
+		last = clock.BootTime()
 		m.supervise(ctx)
 	}
 }
 
-const (
-	storePause = 150 * time.Millisecond // between two tries of a write; doubled maxBackoff times
-	maxBackoff = 2
-)
-
-// Accept stores a batch. After a nil error the batch is kept and will run. An error with
-// outcome fault.NotRun says that no part of it runs or ever will.
-func (m *Manager) Accept(ctx context.Context, job Job) error {
-	if err := job.Validate(); err != nil {
-		return err
-	}
-	if m.knows(job.ID) {
-		return nil
-	}
-	if host := m.hostOf(job); host != m.self && m.hostElsewhere(ctx, host, job) {
-		return nil
-	}
-	// A host that did not answer may have stored the batch: the write below finds it.
-	return m.acceptHere(ctx, job)
-}
-
-// acceptHere stores a batch that this daemon will run.
-func (m *Manager) acceptHere(ctx context.Context, job Job) error {
-	job.Owner, job.Accepted = m.self, time.Now()
-	w := &acceptance{Manager: m, job: job}
-	return w.run(ctx)
-}
-
-func (m *Manager) isDraining() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.draining
-}
-
-func (m *Manager) knows(id string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	k := m.jobs[id]
-	return k != nil && k.job.ID != ""
-}
-
-// acceptance is the writing of one batch.
-type acceptance struct {
-	*Manager
-
-	job       Job
-	unsettled bool // a write may have taken effect or may do so later
-}
-
-func (w *acceptance) run(ctx context.Context) error {
-	var last error
-	for try := 0; ctx.Err() == nil; try++ {
-		done, err := w.write(ctx)
-		if done {
-			return nil
-		}
-		if fault.Is(err, fault.Invalid) {
-			return err
-		}
-		last = err
-		pause(ctx, storePause<<min(try, maxBackoff))
-	}
-	if w.unsettled {
-		return fault.Wrap(last, fault.Ambiguous, "the batch may have been accepted", "submit it again with the same id")
-	}
-	return fault.Wrap(last, fault.Unavailable, "the batch could not be stored", "submit it again",
-		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
-}
-
-// write makes one try to store the batch. An object that exists means that it is accepted.
-func (w *acceptance) write(ctx context.Context) (bool, error) {
-	head, parts, err := w.job.encode()
-	if err != nil {
-		return false, err
-	}
-	for i, part := range parts {
-		if _, err := w.store.Create(ctx, partKey(w.job.ID, i), part); err != nil && !fault.Is(err, fault.Conflict) {
-			return false, err // without its head a part is nothing
-		}
-	}
-	w.job.Parts = len(parts)
-	created, err := w.store.Create(ctx, jobKey(w.job.ID), head)
-	switch {
-	case err == nil:
-		w.log.Log(event.BatchAccepted, event.F("batch", w.job.ID), event.F("step", w.job.Step),
-			event.F("items", len(w.job.Items)), event.F("version", created.Version))
-		w.begin()
-		return true, nil
-	case fault.Is(err, fault.Conflict):
-		return true, nil
-	case fault.Is(err, fault.Ambiguous):
-		w.unsettled = true
-	}
-	return false, err
-}
-
-// begin starts a batch that this daemon has just stored. It is new: nothing is listed.
-func (w *acceptance) begin() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	k := w.learn(w.job)
-	if k.run == nil && !k.starting && !k.ended && !w.draining {
-		k.run = w.start(w.job, k.log, w.carried(w.job))
-	}
-}
-
 // End ends a batch. After a nil error nothing of it is begun any more.
 func (m *Manager) End(ctx context.Context, id string) error {
 	if !m.knows(id) {
@@ -295,7 +188,11 @@
 	}
 	m.mu.Lock()
 	m.noteEnd(id)
+	stored := m.jobs[id].endStored
 	m.mu.Unlock()
+	if stored {
+		return nil
+	}
 	go m.tellRunners(id)
 	for try := 0; ; try++ {
 		_, err := m.store.Create(ctx, endKey(id), endValue)
@@ -305,7 +202,7 @@
 		if ctx.Err() != nil {
 			return fault.Wrap(err, fault.Ambiguous, "the end of the batch is not settled", "end it again")
 		}
-		pause(ctx, storePause<<min(try, maxBackoff))
+		clock.Sleep(ctx, storePause<<min(try, maxBackoff))
 	}
 }
 
@@ -336,57 +233,6 @@
 		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(500*time.Millisecond))
 }
 
-// items returns a batch's items, from its parts if it has any.
-func (m *Manager) items(ctx context.Context, job Job) ([]Item, error) {
-	if len(job.Items) > 0 {
-		return job.Items, nil
-	}
-	var items []Item
-	for i := range job.Parts {
-		o, err := m.store.Get(ctx, partKey(job.ID, i))
-		if err != nil {
-			return nil, unsure(err)
-		}
-		part, err := decodeItems(o.Value)
-		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "items of batch "+job.ID+" can't be read", "report this defect")
-		}
-		items = append(items, part...)
-	}
-	return items, nil
-}
-
-// Body returns the body of an item.
-func (m *Manager) Body(ctx context.Context, id, item string) ([]byte, error) {
-	k, err := m.find(ctx, id)
-	if err != nil {
-		return nil, err
-	}
-	job := m.jobOf(k)
-	if len(job.Items) == 0 {
-		if body, ok := m.runnersBody(ctx, job, item); ok {
-			return body, nil
-		}
-	}
-	items, err := m.items(ctx, job)
-	if err != nil {
-		return nil, err
-	}
-	if body, ok := bodyOf(items, item); ok {
-		return body, nil
-	}
-	return nil, fault.New(fault.NotFound, "the batch has no item "+item, "check its id")
-}
-
-func bodyOf(items []Item, id string) ([]byte, bool) {
-	for _, i := range items {
-		if i.ID == id {
-			return i.Body, true
-		}
-	}
-	return nil, false
-}
-
 func (m *Manager) find(ctx context.Context, id string) (*known, error) {
 	m.mu.Lock()
 	k := m.jobs[id]
--- a/batch/read.go
+++ b/batch/read.go
@@ -8,12 +8,6 @@
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 )
 
-func decodeItems(value []byte) ([]Item, error) {
-	var items []Item
-	err := json.Unmarshal(value, &items)
-	return items, err
-}
-
 const (
 	// readLimit bounds a read beyond the wait that its client allows.
 	readLimit = 1200 * time.Millisecond
@@ -147,31 +141,6 @@
 	return page, json.Unmarshal(answer.Json, &page) == nil
 }
 
-// runnersBody asks the daemons that probably hold a batch's items for a body.
-func (m *Manager) runnersBody(ctx context.Context, job Job, item string) ([]byte, bool) {
-	peers := m.members()
-	for i, id := range m.candidates(job, peers) {
-		if i >= askedReaders {
-			break
-		}
-		if id == m.self || peers[id] == "" {
-			continue
-		}
-		limited, cancel := context.WithTimeout(ctx, peerLimit)
-		conn, err := m.conns.Conn(limited, peers[id])
-		if err == nil {
-			var answer *batchpb.BodyAnswer
-			answer, err = batchpb.NewDRPCBatchClient(conn).Body(limited, &batchpb.BodyRequest{Id: job.ID, Item: item})
-			if err == nil && answer.Known {
-				cancel()
-				return answer.Body, true
-			}
-		}
-		cancel()
-	}
-	return nil, false
-}
-
 // storedPage reads what the store has of a batch beyond what this daemon knows of it.
 func (m *Manager) storedPage(ctx context.Context, k *known, after int) (Page, error) {
 	m.mu.Lock()
--- a/batch/score.go
+++ b/batch/score.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
@@ -48,7 +49,7 @@
 			r.finish(t.item, Result{ID: t.item.ID, State: Errored})
 			return
 		}
-		pause(r.ctx, scorePause)
+		clock.Sleep(r.ctx, scorePause)
 	}
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -122,7 +122,6 @@
 	Slots         int
 	State         ReplicaState
 	Versions      map[string]int64 // weight version by model, model replicas only
-	Orders        int64            // orders that it accepted
 	Started       int64            // ms since the Unix epoch; tells incarnations apart
 }
 
--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -36,6 +36,7 @@
 		{"unknown key", requiredSettings + "[peers]\nretry = 1\n", fault.Unrecognized, `s.ini:11: unknown key "retry"`, "member_timeout"},
 		{"missing id", replace("id = d1\n", ""), fault.Invalid, `s.ini:1: required key "id"`, "add id"},
 		{"missing platform", replace("address = 127.0.0.1:7000\n", ""), fault.Invalid, `s.ini:7: required key "address"`, "add address"},
+		{"empty address", replace("127.0.0.1:8080", ""), fault.Invalid, "s.ini:3: http_address", "IP:port"},
 		{"host name", replace("127.0.0.1:8080", "localhost:8080"), fault.Invalid, "s.ini:3: http_address", "IP:port"},
 		{"no port", replace("127.0.0.1:8080", "127.0.0.1"), fault.Invalid, "s.ini:3: http_address", "IP:port"},
 		{"port out of range", replace("127.0.0.1:8080", "127.0.0.1:65536"), fault.Invalid, "s.ini:3: http_address", "0 to 65535"},
--- a/daemon/schema.go
+++ b/daemon/schema.go
@@ -32,15 +32,7 @@
 }
 
 func address(name, text string, field func(*Settings) *string) inifile.KeySchema[Settings] {
-	set := func(s *Settings, value string) error {
-		if err := checkAddress(value); err != nil {
-			return err
-		}
-		*field(s) = value
-		return nil
-	}
-	get := func(s *Settings) string { return *field(s) }
-	return inifile.Required(inifile.Key(name, "IP:port", "", "port 0 to 65535", text, set, get))
+	return inifile.Required(inifile.Address(name, text, field))
 }
 
 func instanceSection() inifile.SectionSchema[Settings] {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,9 +1,7 @@
 package daemon
 
 import (
-	"net"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/document/inifile"
@@ -156,18 +154,3 @@
 	line := file.LineOf("daemon", "data_folder")
 	return inifile.Errorf(fault.Invalid, file.Name, line, "create the folder or leave the value empty", "data_folder: %q is not a folder", folder)
 }
-
-// checkAddress accepts IP:port, since processes talk by IP numbers.
-func checkAddress(value string) error {
-	host, port, err := net.SplitHostPort(value)
-	if err != nil {
-		return err
-	}
-	if net.ParseIP(host) == nil {
-		return &net.AddrError{Err: "host is not an IP number", Addr: value}
-	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || strconv.FormatUint(n, 10) != port {
-		return &net.AddrError{Err: "port is not a number from 0 to 65535", Addr: value}
-	}
-	return nil
-}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -96,63 +95,6 @@
 	return d, nil
 }
 
-func (d *Daemon) constructors() []any {
-	s := d.settings
-	return []any{
-		func() *event.Logger { return d.log },
-		func() *platform.Client {
-			return platform.NewClient(platform.Config{
-				Address: s.Store.Address, CallTimeout: s.Store.CallTimeout, Progress: s.Store.Watch, WriteRate: s.Store.Writes,
-			}, d.log)
-		},
-		func() *peer.Pool {
-			return peer.NewPool(peer.Config{Connect: peerConnect, Progress: peerProgress}, d.log)
-		},
-		peer.NewServer,
-		placement.NewTracker,
-		platform.NewBackends,
-		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
-			return mirror.New(mirror.Config{Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds()}, store, conns, d.mirrorMembers, d.log)
-		},
-		func(store *platform.Client, conns *peer.Pool) *relay.Store {
-			return relay.New(store, conns, d.otherDaemons, d.log)
-		},
-		func(b *platform.Backends, t *placement.Tracker) *gateway.Gateway { return gateway.New(b, t, d.log) },
-		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends) *batch.Manager {
-			return batch.NewManager(batch.Parts{
-				Self: s.ID, Store: store, Mirror: m, Members: d.members, Conns: conns, Tracker: t, Backend: b,
-				Configuration: d.configuration.Load, Log: d.log,
-			})
-		},
-		func(store *relay.Store, t *placement.Tracker, b *platform.Backends, batches *batch.Manager) *waves.Manager {
-			return waves.NewManager(waves.Config{
-				Self: s.ID, Incarnation: d.started.UnixMilli(), Lease: s.Orders.Lease, Fenced: s.Orders.Fenced,
-			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Demand: batches.Demand, Members: d.members, Log: d.log})
-		},
-	}
-}
-
-const (
-	// promptWait is that of kinds whose changes must be in force within two seconds.
-	promptWait = time.Second
-	// versionWait is that of named weight versions.
-	versionWait = 2500 * time.Millisecond
-	// slowWait is that of kinds that are told in other ways too, or seldom matter.
-	slowWait = 6 * time.Second
-)
-
-func mirroredKinds() []mirror.Kind {
-	return []mirror.Kind{
-		{Name: platform.ConfigurationKind, Wait: promptWait},
-		{Name: platform.ReplicaKind, Wait: promptWait},
-		{Name: platform.VersionKind, Wait: versionWait},
-		{Name: platform.RetirementKind, Wait: slowWait},
-		{Name: platform.MemberKind, Wait: slowWait},
-		{Name: batch.KindJobs, Wait: slowWait},
-		{Name: batch.KindEnds, Wait: versionWait},
-	}
-}
-
 // observe turns objects of the store into what the modules work with.
 func (d *Daemon) observe() {
 	d.Mirror.Observe(platform.ConfigurationKind, d.configurationChanged)
@@ -196,61 +138,6 @@
 	}
 }
 
-// knownMembers are the daemons that announced themselves.
-func (d *Daemon) knownMembers() []platform.Member {
-	var members []platform.Member
-	for _, o := range d.Mirror.Objects(platform.MemberKind) {
-		var m platform.Member
-		if json.Unmarshal(o.Value, &m) == nil && m.ID != "" && m.PeerAddress != "" {
-			members = append(members, m)
-		}
-	}
-	return members
-}
-
-// members are the drpc addresses of all daemons by ID.
-func (d *Daemon) members() map[string]string {
-	members := map[string]string{d.settings.ID: d.settings.PeerAddress}
-	for _, m := range d.knownMembers() {
-		members[m.ID] = m.PeerAddress
-	}
-	return members
-}
-
-// otherDaemons are the drpc addresses of the other daemons.
-func (d *Daemon) otherDaemons() []string {
-	var addresses []string
-	for id, address := range d.members() {
-		if id != d.settings.ID {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
-}
-
-// mirrorMembers are the daemons to hear news from: the seeds until others are known.
-func (d *Daemon) mirrorMembers() []mirror.Member {
-	self := mirror.Member{ID: d.settings.ID, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
-	members := []mirror.Member{self}
-	for _, m := range d.knownMembers() {
-		if m.ID != d.settings.ID {
-			members = append(members, mirror.Member{ID: m.ID, Address: m.PeerAddress, FailureDomain: m.FailureDomain})
-		}
-	}
-	if len(members) > 1 {
-		return members
-	}
-	members = nil
-	for _, seed := range d.settings.seeds() {
-		if seed == self.Address {
-			members = append(members, self)
-		} else {
-			members = append(members, mirror.Member{ID: seed, Address: seed})
-		}
-	}
-	return members
-}
-
 // ready reports whether the daemon should get new connections.
 func (d *Daemon) ready() bool {
 	return d.configuration.Load() != nil && d.Mirror.Known(platform.ReplicaKind) && !d.draining.Load()
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
@@ -43,7 +44,7 @@
 			d.Mirror.Add(platform.MemberKind, o)
 			return nil
 		}
-		pauseFor(ctx, announcePause)
+		clock.Sleep(ctx, announcePause)
 	}
 	return nil
 }
@@ -85,7 +86,7 @@
 				d.log.Log(event.EdgeRetired, event.F("instance", o.Key))
 			}
 		}
-		pauseFor(ctx, retireInterval)
+		clock.Sleep(ctx, retireInterval)
 	}
 	return nil
 }
@@ -116,12 +117,3 @@
 		_, _ = io.WriteString(w, vars.String())
 	}))
 }
-
-func pauseFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/edge/members.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"encoding/json"
+
+	"github.com/hornbeamtide/hornbeamtide/mirror"
+	"github.com/hornbeamtide/hornbeamtide/platform"
+)
+
+// knownMembers are the daemons that announced themselves.
+func (d *Daemon) knownMembers() []platform.Member {
+	var members []platform.Member
+	for _, o := range d.Mirror.Objects(platform.MemberKind) {
+		var m platform.Member
+		if json.Unmarshal(o.Value, &m) == nil && m.ID != "" && m.PeerAddress != "" {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// members are the drpc addresses of all daemons by ID.
+func (d *Daemon) members() map[string]string {
+	members := map[string]string{d.settings.ID: d.settings.PeerAddress}
+	for _, m := range d.knownMembers() {
+		members[m.ID] = m.PeerAddress
+	}
+	return members
+}
+
+// otherDaemons are the drpc addresses of the other daemons.
+func (d *Daemon) otherDaemons() []string {
+	var addresses []string
+	for id, address := range d.members() {
+		if id != d.settings.ID {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// mirrorMembers are the daemons to hear news from: the seeds until others are known.
+func (d *Daemon) mirrorMembers() []mirror.Member {
+	self := mirror.Member{ID: d.settings.ID, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
+	members := []mirror.Member{self}
+	for _, m := range d.knownMembers() {
+		if m.ID != d.settings.ID {
+			members = append(members, mirror.Member{ID: m.ID, Address: m.PeerAddress, FailureDomain: m.FailureDomain})
+		}
+	}
+	if len(members) > 1 {
+		return members
+	}
+	members = nil
+	for _, seed := range d.settings.seeds() {
+		if seed == self.Address {
+			members = append(members, self)
+		} else {
+			members = append(members, mirror.Member{ID: seed, Address: seed})
+		}
+	}
+	return members
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -3,9 +3,7 @@
 package edge
 
 import (
-	"net"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -88,10 +86,10 @@
 		Text: "This process.",
 		Keys: []inifile.KeySchema[Settings]{
 			inifile.Required(inifile.Name("id", "Unique among all processes.", func(s *Settings) *string { return &s.ID })),
-			address("front_address", "Listens for callers and trainers; empty where the instance serves none.", func(s *Settings) *string { return &s.FrontAddress }),
-			address("ready_address", "Answers whether the daemon takes new connections.", func(s *Settings) *string { return &s.ReadyAddress }),
-			address("peer_address", "Listens for other daemons.", func(s *Settings) *string { return &s.PeerAddress }),
-			address("metric_address", "Serves metrics and the state dump; empty for none.", func(s *Settings) *string { return &s.MetricAddress }),
+			inifile.OptionalAddress("front_address", "Listens for callers and trainers; empty where the instance serves none.", func(s *Settings) *string { return &s.FrontAddress }),
+			inifile.OptionalAddress("ready_address", "Answers whether the daemon takes new connections.", func(s *Settings) *string { return &s.ReadyAddress }),
+			inifile.OptionalAddress("peer_address", "Listens for other daemons.", func(s *Settings) *string { return &s.PeerAddress }),
+			inifile.OptionalAddress("metric_address", "Serves metrics and the state dump; empty for none.", func(s *Settings) *string { return &s.MetricAddress }),
 			inifile.Required(inifile.Name("region", "Region of this instance.", func(s *Settings) *string { return &s.Region })),
 			inifile.Required(inifile.Name("failure_domain", "Failure domain of this instance.", func(s *Settings) *string { return &s.FailureDomain })),
 			inifile.Key("seeds", "list of IP:port, separated by commas", "", "addresses", "Peer addresses of some daemons, known before the store answers.", setSeeds, func(s *Settings) string { return s.Seeds }),
@@ -106,7 +104,7 @@
 		Name: "store",
 		Text: "The platform's metadata store.",
 		Keys: []inifile.KeySchema[Settings]{
-			address("address", "Where the store answers.", func(s *Settings) *string { return &s.Store.Address }),
+			inifile.OptionalAddress("address", "Where the store answers.", func(s *Settings) *string { return &s.Store.Address }),
 			inifile.Duration("call_timeout", 1500*time.Millisecond, shortest, longest, "Longest wait for one call.", func(s *Settings) *time.Duration { return &s.Store.CallTimeout }),
 			inifile.Duration("watch", 20*time.Second, shortest, longest, "Longest wait of one watch call; each call is priced.", func(s *Settings) *time.Duration { return &s.Store.Watch }),
 			inifile.Int("writes", "writes a second", 400, 0, 1000000, "Writes that the store takes from all daemons together; 0 for no limit.", func(s *Settings) *int { return &s.Store.Writes }),
@@ -136,24 +134,10 @@
 	}
 }
 
-// address is a key with an IP:port or nothing.
-func address(name, text string, field func(*Settings) *string) inifile.KeySchema[Settings] {
-	set := func(s *Settings, value string) error {
-		if value != "" {
-			if err := checkAddress(value); err != nil {
-				return err
-			}
-		}
-		*field(s) = value
-		return nil
-	}
-	return inifile.Key(name, "IP:port", "", "port 0 to 65535", text, set, func(s *Settings) string { return *field(s) })
-}
-
 func setSeeds(s *Settings, value string) error {
 	s.Seeds = value
 	for _, seed := range s.seeds() {
-		if err := checkAddress(seed); err != nil {
+		if err := inifile.CheckAddress(seed); err != nil {
 			return err
 		}
 	}
@@ -169,17 +153,3 @@
 	}
 	return seeds
 }
-
-func checkAddress(value string) error {
-	host, port, err := net.SplitHostPort(value)
-	if err != nil {
-		return err
-	}
-	if net.ParseIP(host) == nil {
-		return &net.AddrError{Err: "host is not an IP number", Addr: value}
-	}
-	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-		return &net.AddrError{Err: "port is not a number from 0 to 65535", Addr: value}
-	}
-	return nil
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -259,12 +259,3 @@
 		f(change)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -6,6 +6,7 @@
 
 	"storj.io/drpc"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/mirror/mirrorpb"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
@@ -60,11 +61,11 @@
 		}
 		switch {
 		case len(from) == 0:
-			sleep(ctx, alonePause)
+			clock.Sleep(ctx, alonePause)
 		case collects && !m.blind():
 			other := from[next%min(len(from), fewCollectors)]
 			m.judge(other, m.ask(ctx, other, 0))
-			sleep(ctx, compareInterval)
+			clock.Sleep(ctx, compareInterval)
 		default:
 			if m.judge(from[0], m.ask(ctx, from[0], attendWait)) {
 				failed = 0
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
@@ -43,7 +44,7 @@
 			continue
 		}
 		m.storeFailed(kind.Name, err)
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
@@ -106,7 +107,7 @@
 		progressed = true
 		m.apply(kind.Name, change)
 		if change.Bookmark {
-			sleep(ctx, gatherPause)
+			clock.Sleep(ctx, gatherPause)
 		}
 		if on, _ := m.watches(kind); change.Bookmark && !on {
 			return true, nil
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	chosen.inProgress++
-	return &Lease{Replica: chosen.Replica, tracker: t, taken: t.now()}
+	return &Lease{Replica: chosen.Replica, tracker: t}
 }
 
 // candidates are the replicas that may run the request at all.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -143,7 +143,6 @@
 	catalog.Replica
 
 	tracker *Tracker
-	taken   time.Time
 }
 
 // Outcome is what a request showed about its replica.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -39,8 +39,6 @@
 	NotRun  bool   // the replica says that it did not run the request
 	Load    *Load
 	Version int64 // weight version, 0 when none was told
-	Moved   bool  // another replica answered at this address and ran nothing
-	Leaving bool  // the replica closes the connection after this answer
 }
 
 // Load is what a replica tells of itself beside an answer.
--- a/waves/waves_test.go
+++ b/waves/waves_test.go
@@ -11,13 +11,13 @@
 	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
 )
 
-// clock is a clock that a test moves.
-type clock struct{ now time.Duration }
+// testClock is a clock that a test moves.
+type testClock struct{ now time.Duration }
 
-func (c *clock) read() time.Duration { return c.now }
+func (c *testClock) read() time.Duration { return c.now }
 
-func newLeases(fenced bool) (*memstore.Store, *clock, map[string]*lease) {
-	store, now := memstore.New(), &clock{now: time.Hour}
+func newLeases(fenced bool) (*memstore.Store, *testClock, map[string]*lease) {
+	store, now := memstore.New(), &testClock{now: time.Hour}
 	leases := map[string]*lease{}
 	for _, id := range []string{"a", "b"} {
 		leases[id] = &lease{store: store, self: id, length: 3 * time.Second, fenced: fenced, clock: now.read}
