batch: scoring bounded by the slots that callers leave, not by a number a daemon

Ruled out: memory (69 MB at the peak), processor (0.026 of a core at most), orders. Change: scoring takes a server's slots but for a third, which stay for callers, and waits here for a place, 24 at most a daemon.

--- a/batch/score.go
+++ b/batch/score.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// scoresAtOnce bounds the scoring requests of this daemon in progress: callers wait
-	// at the same plain servers, and a burst of finished groups must not queue before them.
-	scoresAtOnce = 4
+	// scoresAtOnce bounds the scoring requests of this daemon in progress, and callersShare
+	// is the part of a server's slots that they leave to callers. Load pattern: groups end
+	// in bursts of many short requests at the servers that callers wait for; what does not
+	// fit beside the callers waits here, never in a server's queue.
+	scoresAtOnce = 24
+	callersShare = 0.34
 	// scoreTimeout is that of routes that name none.
 	scoreTimeout   = 3 * time.Second
 	maxScoreAnswer = 1 << 20
@@ -79,10 +82,11 @@
 	if !ok {
 		return "", false
 	}
-	request := placement.Request{Service: serviceOf(route, s.ID), Exclude: tried, MustFit: true}
+	request := placement.Request{Service: serviceOf(route, s.ID), Exclude: tried, MustFit: true, Reserve: callersShare}
 	lease := r.tracker.Pick(request)
 	if lease == nil {
 		clear(tried)
+		r.awaitPlace()
 		return "", false
 	}
 	limit := route.Timeout
@@ -115,3 +119,17 @@
 		event.F("replica", lease.ID), event.F("status", answer.Status))
 	return "", answer.Status == http.StatusInternalServerError
 }
+
+// placeWait bounds the wait for a place at a scoring server.
+const placeWait = 100 * time.Millisecond
+
+// awaitPlace waits until a place may have become free.
+func (r *run) awaitPlace() {
+	timer := time.NewTimer(placeWait)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+	case <-r.tracker.Changed():
+	case <-timer.C:
+	}
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -16,9 +16,13 @@
 	Model      string          // "" when any will do
 	MinVersion int64           // oldest weight version of Model that may run it
 	Affinity   string          // requests with the same key share a prompt prefix
+	Reserve    float64         // part of the slots that a request with MustFit leaves to others
 	MustFit    bool            // only where a slot is free and nothing failed lately; the request can wait
 }
 
+// fits reports whether a replica has a slot free beside those kept for others.
+func (r Request) fits(c candidate) bool { return c.load < (1-r.Reserve)*float64(c.slots) }
+
 // candidate is a replica at the time of a choice.
 type candidate struct {
 	*replica
@@ -34,7 +38,7 @@
 	defer t.mu.Unlock()
 	candidates := t.candidates(request)
 	if request.MustFit {
-		candidates = keep(keep(candidates, t.isTrusted), hasRoom)
+		candidates = keep(keep(candidates, t.isTrusted), request.fits)
 	} else {
 		candidates = prefer(prefer(candidates, t.isTrusted), hasRoom)
 	}
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -127,3 +127,19 @@
 		t.Error("a new incarnation is held responsible for the last one")
 	}
 }
+
+// The load that Reserve answers: bursts of short requests that can wait, at the servers that
+// callers wait for.
+func TestRequestsThatCanWaitLeaveSlotsToCallers(t *testing.T) {
+	tracked := tracker(1) // four slots
+	taken := 0
+	for tracked.Pick(Request{Service: "s", MustFit: true, Reserve: 0.34}) != nil {
+		taken++
+	}
+	if taken != 3 {
+		t.Errorf("%d of 4 slots taken, want 3", taken)
+	}
+	if tracked.Pick(Request{Service: "s"}) == nil {
+		t.Error("no place left for a caller")
+	}
+}
