--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -21,12 +21,13 @@
 
 // Calls counts the calls since the start. Each wait for changes counts once.
 type Calls struct {
-	Gets    int64 `json:"gets"`
-	Lists   int64 `json:"lists"`
-	Writes  int64 `json:"writes"`
-	Watches int64 `json:"watches"` // opened
-	Waiting int64 `json:"waiting"` // watches open now
-	Refused int64 `json:"refused"` // answered with 503 by a fault
+	Gets      int64 `json:"gets"`
+	Lists     int64 `json:"lists"`
+	Writes    int64 `json:"writes"`
+	Watches   int64 `json:"watches"`   // opened
+	Instances int64 `json:"instances"` // of the watches, those of instances
+	Waiting   int64 `json:"waiting"`   // watches open now
+	Refused   int64 `json:"refused"`   // answered with 503 by a fault
 }
 
 // Server is the fake. All methods may be called at any time.
--- a/standin/fakeplatform/watch.go
+++ b/standin/fakeplatform/watch.go
@@ -45,6 +45,9 @@
 	}
 	s.mu.Lock()
 	s.calls.Watches++
+	if isInstanceKind(r.URL.Path) {
+		s.calls.Instances++
+	}
 	s.calls.Waiting++
 	epoch := s.epoch
 	s.mu.Unlock()
