mirror: fewer calls of the store

Change: half a second between watch calls, which gathers bursts, and shorter waits, so that a silent watch still shows within 1.85 s; two collectors in fleets up to 96 daemons.

--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -51,8 +51,9 @@
 }
 
 const (
-	// promptWait is that of kinds whose changes must be in force within two seconds.
-	promptWait = time.Second
+	// promptWait is that of kinds whose changes must be in force within two seconds, also
+	// if a watch goes silent: with the pause between calls and their slack 1.85 s.
+	promptWait = 750 * time.Millisecond
 	// versionWait is that of named weight versions.
 	versionWait = 2500 * time.Millisecond
 	// slowWait is that of kinds that are told in other ways too, or seldom matter.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,7 +19,7 @@
 const (
 	// blindAge is the age of the copy from which on objects that the next answer leaves
 	// out are doubted: they may have lapsed while the store was away.
-	blindAge = 2500 * time.Millisecond
+	blindAge = 3 * time.Second
 	// doubtTime is how long a doubted object stays: its writer, if it lives, writes it
 	// again within two seconds.
 	doubtTime = 2500 * time.Millisecond
--- a/mirror/roles.go
+++ b/mirror/roles.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// fewMembers is the largest fleet that makes do with two collectors; beyond it each
-	// failure domain has one, so that news crosses domains once.
-	fewMembers    = 16
+	// fewMembers is the largest fleet that makes do with two collectors, each of which
+	// answers half of it; beyond it each failure domain has one.
+	fewMembers    = 96
 	fewCollectors = 2
 )
 
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -13,7 +13,7 @@
 const (
 	// gatherPause is the wait after an answer before the next call: changes come in
 	// bursts, and each call is priced.
-	gatherPause = 250 * time.Millisecond
+	gatherPause = 500 * time.Millisecond
 	// firstPause and maxPause bound the wait before a failed watch is opened again.
 	firstPause = 100 * time.Millisecond
 	maxPause   = time.Second
