--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -308,3 +308,34 @@
 		}
 	}
 }
+
+// After a restart of all daemons the batches may be known before their ends (conchilla-hub
+// scale-2 264312042915).
+func TestEndedBatchStaysEndedAfterARestartOfAll(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2)
+	for _, e := range s.engines {
+		e.SetFaults(fakereplica.Faults{Pause: 300 * time.Millisecond})
+	}
+	body, _ := submission(4, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	if got := s.daemons[1].call("DELETE", "/hornbeamtide/lots/lot-1", "", nil); got.status != http.StatusOK {
+		t.Fatalf("end: %+v", got)
+	}
+	for _, d := range s.daemons {
+		d.kill()
+		<-d.done
+	}
+	before := s.engines[0].Total() + s.engines[1].Total() + s.engines[2].Total()
+	s.daemons, s.seeds = nil, ""
+	for _, id := range []string{"d1", "d2"} {
+		s.start(id)
+	}
+	for _, d := range s.daemons {
+		s.eventually("daemons are ready", d.ready)
+	}
+	time.Sleep(2500 * time.Millisecond) // a few rounds of supervision
+	if after := s.engines[0].Total() + s.engines[1].Total() + s.engines[2].Total(); after != before {
+		t.Errorf("%d runs of an ended batch after the restart", after-before)
+	}
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -167,7 +167,9 @@
 		})
 	}
 	// Orders end as soon as a stop is asked for: the lease then goes to the next daemon.
-	running.Go(func() { _ = d.Waves.Run(ctx) })
+	orders, stopOrders := context.WithCancel(ctx)
+	defer stopOrders()
+	running.Go(func() { _ = d.Waves.Run(orders) })
 	front := d.serveFront(listeners.front)
 	ready := serveHTTP(listeners.ready, platform.Ready(d.ready))
 	metrics := d.serveMetrics(listeners.metric)
@@ -176,6 +178,7 @@
 	case <-ctx.Done():
 		d.stop(work, front)
 	case <-d.aborted:
+		stopOrders()
 	}
 	cancel()
 	_ = front.Close()
