--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
+	"storj.io/drpc"
 
 	"github.com/hornbeamtide/hornbeamtide/batch"
 	"github.com/hornbeamtide/hornbeamtide/catalog"
@@ -87,7 +88,7 @@
 		return nil, fault.Wrap(dig.RootCause(err), fault.Internal, "the modules can't be wired", "report this defect")
 	}
 	d.observe()
-	for _, service := range []interface{ Register(mux drpcMux) error }{d.Mirror, d.Relay, d.Batches} {
+	for _, service := range []interface{ Register(mux drpc.Mux) error }{d.Mirror, d.Relay, d.Batches} {
 		if err := service.Register(d.Server.Mux()); err != nil {
 			return nil, fault.Wrap(err, fault.Internal, "the drpc services can't be registered", "report this defect")
 		}
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"storj.io/drpc"
 
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
@@ -20,8 +19,6 @@
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
-type drpcMux = drpc.Mux
-
 // announcePause is the wait between two tries to write this daemon's own object.
 const announcePause = 500 * time.Millisecond
 
--- a/event/batch.go
+++ b/event/batch.go
@@ -16,5 +16,4 @@
 	BatchYielded        = define(1510, logrus.InfoLevel, "batch yielded", "Another daemon took this one for lost and runs the batch; this one stops its part.")
 	BatchStalled        = define(1511, logrus.WarnLevel, "daemon stood still", "The instance was suspended or starved; for some seconds results are checked against the store.")
 	BatchHostPassedOver = define(1512, logrus.InfoLevel, "host passed over", "The daemon that runs the trainer's steps did not take a batch; the one that was asked runs it.")
-	BatchEnded          = define(1509, logrus.InfoLevel, "batch ended", "Its client ended the batch; what still runs of it is cancelled.")
 )
