Ended batches and ports in the tests of the edge: two races of the tests are gone

TestEndedBatchStaysEndedAfterARestartOfAll counted a request as a run after the restart that an old daemon had sent before it died: the trace shows counted 29.919, START 29.921, new daemons not yet started. It now waits until all items run before the batch is ended, so that none is on its way. TestTextsOfGroupsThatComeBackAreUsed: the harness let go of a free port and the daemon bound it later; another test had taken it. Ruled out: that the supervisor runs an ended batch (no start comes later than 2 ms after the count in any trace). Change: the daemon binds its addresses when it is built and port 0 is allowed; no port is let go of in between.

--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -317,8 +317,12 @@
 	for _, e := range s.engines {
 		e.SetFaults(fakereplica.Faults{Pause: 300 * time.Millisecond})
 	}
-	body, _ := submission(4, 1)
+	body, ids := submission(4, 1)
 	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	// No request is on its way to a replica when the daemons die: it would count as one of
+	// the new daemons.
+	total := func() int { return s.engines[0].Total() + s.engines[1].Total() + s.engines[2].Total() }
+	s.eventually("all items run", func() bool { return total() == len(ids) })
 	if got := s.daemons[1].call("DELETE", "/hornbeamtide/lots/lot-1", "", nil); got.status != http.StatusOK {
 		t.Fatalf("end: %+v", got)
 	}
@@ -326,7 +330,7 @@
 		d.kill()
 		<-d.done
 	}
-	before := s.engines[0].Total() + s.engines[1].Total() + s.engines[2].Total()
+	before := total()
 	s.daemons, s.seeds = nil, ""
 	for _, id := range []string{"d1", "d2"} {
 		s.start(id)
@@ -335,7 +339,7 @@
 		s.eventually("daemons are ready", d.ready)
 	}
 	time.Sleep(2500 * time.Millisecond) // a few rounds of supervision
-	if after := s.engines[0].Total() + s.engines[1].Total() + s.engines[2].Total(); after != before {
+	if after := total(); after != before {
 		t.Errorf("%d runs of an ended batch after the restart", after-before)
 	}
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -52,6 +52,7 @@
 	log      *event.Logger
 	modules
 
+	listeners     listeners
 	configuration atomic.Pointer[catalog.Configuration]
 	draining      atomic.Bool
 	output        *event.AsyncWriter
@@ -74,8 +75,23 @@
 	Waves    *waves.Manager
 }
 
-// New builds a daemon that is not running.
+// New builds a daemon that is not running but holds its addresses, so that one with port 0
+// is known from now on. Run lets go of them; it must be called.
 func New(settings Settings, output io.Writer) (*Daemon, error) {
+	held, err := listen(&settings)
+	if err != nil {
+		return nil, err
+	}
+	d, err := build(settings, output)
+	if err != nil {
+		held.close()
+		return nil, err
+	}
+	d.listeners = held
+	return d, nil
+}
+
+func build(settings Settings, output io.Writer) (*Daemon, error) {
 	d := &Daemon{settings: settings, started: time.Now(), output: event.NewAsyncWriter(output), aborted: make(chan struct{})}
 	d.log = newLogger(settings, d.output)
 	container := dig.New()
@@ -147,10 +163,6 @@
 // Run serves until ctx ends, then stops: new connections go elsewhere, batches are handed
 // over, requests in progress end.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := d.listen()
-	if err != nil {
-		return err
-	}
 	if d.settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(d.settings.MemoryMB<<20)))
 	}
@@ -158,7 +170,7 @@
 	defer cancel()
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
-		func(ctx context.Context) error { return d.Server.Serve(ctx, listeners.peer) },
+		func(ctx context.Context) error { return d.Server.Serve(ctx, d.listeners.peer) },
 		d.Mirror.Run, d.Batches.Run, d.announce, d.retire,
 	} {
 		running.Go(func() {
@@ -171,9 +183,9 @@
 	orders, stopOrders := context.WithCancel(ctx)
 	defer stopOrders()
 	running.Go(func() { _ = d.Waves.Run(orders) })
-	front := d.serveFront(listeners.front)
-	ready := serveHTTP(listeners.ready, platform.Ready(d.ready))
-	metrics := d.serveMetrics(listeners.metric)
+	front := d.serveFront(d.listeners.front)
+	ready := serveHTTP(d.listeners.ready, platform.Ready(d.ready))
+	metrics := d.serveMetrics(d.listeners.metric)
 	d.log.Log(event.EdgeStarted, event.F("front", d.settings.FrontAddress), event.F("peer", d.settings.PeerAddress))
 	select {
 	case <-ctx.Done():
@@ -198,32 +210,43 @@
 // be called once.
 func (d *Daemon) Abort() { close(d.aborted) }
 
-type edgeListeners struct{ front, ready, peer, metric net.Listener }
+type listeners struct{ front, ready, peer, metric net.Listener }
 
-func (d *Daemon) listen() (edgeListeners, error) {
-	var l edgeListeners
+// listen binds the addresses of the settings and writes the chosen ports into them.
+func listen(s *Settings) (listeners, error) {
+	var l listeners
 	for _, entry := range []struct {
-		key, address string
-		listener     *net.Listener
-		optional     bool
+		key      string
+		address  *string
+		listener *net.Listener
+		optional bool
 	}{
-		{"front_address", d.settings.FrontAddress, &l.front, false},
-		{"ready_address", d.settings.ReadyAddress, &l.ready, false},
-		{"peer_address", d.settings.PeerAddress, &l.peer, false},
-		{"metric_address", d.settings.MetricAddress, &l.metric, true},
+		{"front_address", &s.FrontAddress, &l.front, false},
+		{"ready_address", &s.ReadyAddress, &l.ready, false},
+		{"peer_address", &s.PeerAddress, &l.peer, false},
+		{"metric_address", &s.MetricAddress, &l.metric, true},
 	} {
-		if entry.address == "" && entry.optional {
+		if *entry.address == "" && entry.optional {
 			continue
 		}
-		listener, err := net.Listen("tcp", entry.address)
+		listener, err := net.Listen("tcp", *entry.address)
 		if err != nil {
+			l.close()
 			return l, fault.Wrap(err, fault.Invalid, entry.key+" can't be bound", "stop the process that uses the port, or choose another address")
 		}
-		*entry.listener = listener
+		*entry.listener, *entry.address = listener, listener.Addr().String()
 	}
 	return l, nil
 }
 
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.front, l.ready, l.peer, l.metric} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
 func (d *Daemon) serveFront(listener net.Listener) *http.Server {
 	server := &http.Server{
 		Handler:           platform.NewFront(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load),
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,6 +30,8 @@
 	strictPath  = "/bookings/" // non-idempotent
 	streamPath  = "/chat/"     // streams that can be resumed
 	scoringPath = "/scores/"
+	anyPort     = "127.0.0.1:0"
+	noServer    = "127.0.0.1:1" // nothing listens there: the port is reserved
 )
 
 // site is a fleet of daemons in this process with a stand-in store and replicas.
@@ -113,19 +114,19 @@
 func (s *site) start(id string) *process {
 	s.t.Helper()
 	settings := Settings{
-		ID: id, FrontAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t), PeerAddress: freeAddress(s.t),
+		ID: id, FrontAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort,
 		Region: "r", FailureDomain: "a", Seeds: s.seeds, StopTime: 4 * time.Second,
 		Store:  StoreSettings{Address: s.address, CallTimeout: 500 * time.Millisecond, Watch: 2 * time.Second},
 		Orders: OrderSettings{Lease: time.Second, Fenced: true},
 		Log:    LogSettings{Level: "error"},
 	}
-	if s.seeds == "" {
-		s.seeds = settings.PeerAddress
-	}
 	d, err := New(settings, io.Discard)
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if s.seeds == "" {
+		s.seeds = d.settings.PeerAddress
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{Daemon: d, client: &http.Client{Timeout: testLimit}, stop: stop, done: make(chan struct{})}
 	go func() {
@@ -139,16 +140,6 @@
 	return p
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (s *site) eventually(what string, holds func() bool) {
 	s.t.Helper()
 	for end := time.Now().Add(testLimit); !holds(); time.Sleep(10 * time.Millisecond) {
--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -132,7 +132,7 @@
 
 func TestDaemonWithoutConfigurationPromisesThatNothingRan(t *testing.T) {
 	t.Parallel()
-	s := &site{t: t, store: fakeplatform.New(fakeplatform.Config{}), address: freeAddress(t)}
+	s := &site{t: t, store: fakeplatform.New(fakeplatform.Config{}), address: noServer}
 	d := s.start("alone")
 	s.eventually("it answers", func() bool { return d.call("POST", plainPath+"x", "r", nil).err == nil })
 	got := d.call("POST", plainPath+"x", "r", nil)
