Decision lines for every placement, answer and result; histograms at the metrics address

Cause: an on-call engineer has only logs and metrics; the log named changes of belief, no request. Ruled out: a line for each event of a text (volume). Change: one line where a request is placed (replicas after each filter, load and age of its report), fails at a replica, is answered, refused or left; for items placed, whole, scored, listed; for batches sent to their host, ended, waiting; for versions named and loaded; replicas suspected and cleared; where news came from. Lines of one event are limited to 200/s and counted; warnings and errors keep a quarter of the queue. HdrHistogram by kind, docs/METRICS.md generated and checked; a test sees every kind observed.

--- a/batch/host.go
+++ b/batch/host.go
@@ -66,6 +66,7 @@
 		m.mu.Lock()
 		delete(m.shunned, host)
 		m.mu.Unlock()
+		m.log.Log(event.BatchForwarded, event.F("batch", job.ID), event.F("host", host), event.F("members", len(m.members())))
 	}
 	return err == nil
 }
--- a/batch/item.go
+++ b/batch/item.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -59,7 +60,7 @@
 		r.finish(t.item, Result{ID: t.item.ID, State: Errored})
 	default:
 		r.Manager.log.Log(event.BatchItemMoved, event.F("batch", r.job.ID), event.F("item", t.item.ID),
-			event.F("replica", lease.ID), event.Err(err))
+			event.F("replica", lease.ID), event.F("events", len(r.text(t.item.ID).Events)), event.Err(err))
 		if t.tried == nil {
 			t.tried = map[string]bool{}
 		}
@@ -80,6 +81,8 @@
 	silence := time.AfterFunc(firstEventLimit, cancel)
 	defer silence.Stop()
 	text := r.text(t.item.ID)
+	begun := time.Now()
+	r.logPlaced(t, lease, len(text.Events))
 	answer, err := r.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: t.item.ID, Method: http.MethodPost, Target: t.item.Path,
 		Host: r.job.Host, Header: t.item.Header, Body: t.item.Body,
@@ -99,8 +102,9 @@
 		return err
 	}
 	started, before := time.Now(), len(text.Events)
-	err = r.readEvents(t, answer, &text, silence)
+	err = r.readEvents(t, answer, &text, begun, silence)
 	r.keepText(t.item.ID, text)
+	r.textEnded(t, lease, &text, begun, err)
 	made := len(text.Events) - before
 	var pace time.Duration
 	if made > 1 {
@@ -162,7 +166,8 @@
 }
 
 // readEvents appends a replica's events to the text until its end.
-func (r *run) readEvents(t *task, answer *upstream.Answer, text *Text, silence *time.Timer) error {
+func (r *run) readEvents(t *task, answer *upstream.Answer, text *Text, begun time.Time, silence *time.Timer) error {
+	first := int64(len(text.Events)) + 1
 	single := false
 	if route, ok := r.routeOf(t.item); ok {
 		single = route.SingleVersion
@@ -190,7 +195,9 @@
 			*text = Text{} // one version only: begin anew
 			return fault.New(fault.Stale, "the weights changed within a text of one version", "begin it anew")
 		}
-		text.add(e.Data, e.Version)
+		if text.add(e.Data, e.Version); e.ID == first {
+			r.measures.Observe(measure.ItemFirst, time.Since(begun), r.job.Model)
+		}
 		silence.Reset(eventLimit)
 	}
 }
--- a/batch/log.go
+++ b/batch/log.go
@@ -178,7 +178,8 @@
 const settleTime = 5 * time.Second
 
 // write stores results as they come until ctx ends, and settles the chunk in hand then.
-func (l *resultLog) write(ctx context.Context) {
+// written is told of each chunk that stands, with the number of results so far.
+func (l *resultLog) write(ctx context.Context, written func(key string, results []Result, listed int, took time.Duration)) {
 	for {
 		wait, any := l.untilDue()
 		if !any {
@@ -201,7 +202,7 @@
 			timer.Stop()
 			continue
 		}
-		l.writeChunk(ctx)
+		l.writeChunk(ctx, written)
 		if ctx.Err() != nil {
 			return
 		}
@@ -216,15 +217,17 @@
 
 // writeChunk writes one chunk and settles it: until it is known whether the chunk stands,
 // nothing else is written in its place.
-func (l *resultLog) writeChunk(ctx context.Context) {
+func (l *resultLog) writeChunk(ctx context.Context, written func(key string, results []Result, listed int, took time.Duration)) {
 	ctx, cancel := lingering(ctx, settleTime)
 	defer cancel()
 	key, chunk, value := l.nextChunk()
+	begun := time.Now()
 	for ctx.Err() == nil {
 		_, err := l.store.Create(ctx, key, value)
 		switch {
 		case err == nil:
 			l.confirm(key, chunk)
+			written(key, chunk, l.size(), time.Since(begun))
 			return
 		case fault.Is(err, fault.Conflict):
 			if l.takeOver(ctx, key, value) {
--- a/batch/log_test.go
+++ b/batch/log_test.go
@@ -47,7 +47,7 @@
 		logs := []*resultLog{newResultLog("b", store, nil), newResultLog("b", store, nil)}
 		var group sync.WaitGroup
 		for w, l := range logs {
-			group.Go(func() { l.write(ctx) })
+			group.Go(func() { l.write(ctx, func(string, []Result, int, time.Duration) {}) })
 			group.Go(func() {
 				for i := range 20 {
 					// Both generated the same items, in different orders and with different texts.
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	l := newResultLog("b", store, nil)
-	go l.write(ctx)
+	go l.write(ctx, func(string, []Result, int, time.Duration) {})
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	l := newResultLog("b", store, nil)
 	ended := make(chan struct{})
-	go func() { l.write(ctx); close(ended) }()
+	go func() { l.write(ctx, func(string, []Result, int, time.Duration) {}); close(ended) }()
 	l.add(Result{ID: "a", State: Completed}, true)
 	eventually(t, "the chunk is on its way", func() bool { return store.Writes() > 0 || l.size() > 0 })
 	cancel()
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	l := newResultLog("b", store, nil)
-	go l.write(ctx)
+	go l.write(ctx, func(string, []Result, int, time.Duration) {})
 	l.add(Result{ID: "a", State: Completed}, true)
 	time.Sleep(300 * time.Millisecond)
 	if l.size() != 0 {
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
@@ -27,6 +28,7 @@
 	Tracker       *placement.Tracker
 	Backend       upstream.Backend
 	Configuration func() *catalog.Configuration // nil while none is known
+	Measures      *measure.Set
 	Log           *event.Logger
 }
 
@@ -40,6 +42,7 @@
 	tracker       *placement.Tracker
 	backend       upstream.Backend
 	configuration func() *catalog.Configuration
+	measures      *measure.Set
 	log           *event.Logger
 	scoring       chan struct{} // places of scoring requests
 
@@ -74,7 +77,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Manager{
 		self: p.Self, store: p.Store, mirror: p.Mirror, members: p.Members, conns: p.Conns, tracker: p.Tracker,
-		backend: p.Backend, configuration: p.Configuration, log: p.Log,
+		backend: p.Backend, configuration: p.Configuration, measures: p.Measures, log: p.Log,
 		scoring: make(chan struct{}, scoresAtOnce),
 		ctx:     ctx, stop: stop, jobs: map[string]*known{}, shunned: map[string]shunning{}, look: make(chan struct{}, 1),
 	}
@@ -137,6 +140,7 @@
 	}
 	if !k.ended {
 		k.ended, k.endedAt = true, time.Now()
+		m.log.Log(event.BatchEnded, event.F("batch", id), event.F("listed", k.log.size()), event.F("runs_here", k.run != nil))
 	}
 	k.cancel()
 }
--- a/batch/read.go
+++ b/batch/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 )
 
 const (
@@ -131,9 +132,15 @@
 	if err != nil {
 		return Page{}, false
 	}
+	begun := time.Now()
 	answer, err := batchpb.NewDRPCBatchClient(conn).Results(ctx, &batchpb.ResultsRequest{
 		Id: id, After: int64(after), WaitMs: wait.Milliseconds(),
 	})
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.measures.Observe(measure.PeerRead, time.Since(begun), outcome)
 	if err != nil || !answer.Known {
 		return Page{}, false
 	}
--- a/batch/run.go
+++ b/batch/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 )
 
@@ -25,6 +26,8 @@
 	queue  []*task
 	left   map[string]int // unfinished items by group
 	queued chan struct{}  // the queue grew
+
+	toldWaits time.Time // when it was last logged that items wait
 }
 
 // task is an item that waits for its turn or is being worked on.
@@ -61,7 +64,7 @@
 	defer close(r.done)
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { r.log.write(r.ctx) })
+	group.Go(func() { r.log.write(r.ctx, r.chunkListed) })
 	for _, t := range r.takeWhole() {
 		group.Go(func() { r.score(t) })
 	}
@@ -157,7 +160,7 @@
 // or failed should not hold up the others.
 const lookAhead = 2
 
-// place takes a place for a task at a replica that may run it.
+// place takes a place for a task at a replica that may run it. The run's lock is held.
 func (r *run) place(t *task) *placement.Lease {
 	route, ok := r.routeOf(t.item)
 	if !ok {
@@ -172,6 +175,9 @@
 		request.Exclude, t.tried = nil, nil
 		lease = r.tracker.Pick(request)
 	}
+	if lease == nil {
+		r.logWaits(t, request)
+	}
 	return lease
 }
 
@@ -212,6 +218,9 @@
 	r.left[item.Group]--
 	whole := r.left[item.Group] <= 0
 	r.mu.Unlock()
+	if whole {
+		r.measures.Observe(measure.GroupWhole, time.Since(r.job.Accepted), r.job.Model)
+	}
 	if result.State == Errored {
 		r.Manager.log.Log(event.BatchItemErrored, event.F("batch", r.job.ID), event.F("item", item.ID))
 	}
--- a/batch/score.go
+++ b/batch/score.go
@@ -4,11 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/clock"
-	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -36,11 +37,12 @@
 		r.finish(t.item, result)
 		return
 	}
-	failures := 0
+	failures, begun := 0, time.Now()
 	tried := map[string]bool{}
 	for r.ctx.Err() == nil {
-		score, failed := r.scoreOnce(t.item.Scorer, tried)
+		score, server, failed := r.scoreOnce(t.item.Scorer, tried)
 		if score != "" {
+			r.scoreEnded(t, server, begun, failures, true)
 			result.Score = score
 			r.finish(t.item, result)
 			return
@@ -49,6 +51,7 @@
 			failures++
 		}
 		if limit := r.scoreAttempts(t.item.Scorer); limit > 0 && failures >= limit {
+			r.scoreEnded(t, server, begun, failures, false)
 			r.finish(t.item, Result{ID: t.item.ID, State: Errored})
 			return
 		}
@@ -67,27 +70,27 @@
 
 // scoreOnce makes one attempt. It returns the score, or whether a server said that the
 // request failed. tried holds the servers that did not answer.
-func (r *run) scoreOnce(s *Scorer, tried map[string]bool) (score string, failed bool) {
+func (r *run) scoreOnce(s *Scorer, tried map[string]bool) (score, server string, failed bool) {
 	select {
 	case r.scoring <- struct{}{}:
 		defer func() { <-r.scoring }()
 	case <-r.ctx.Done():
-		return "", false
+		return "", "", false
 	}
 	c := r.configuration()
 	if c == nil {
-		return "", false
+		return "", "", false
 	}
 	route, ok := c.Match(s.Host, s.Path)
 	if !ok {
-		return "", false
+		return "", "", false
 	}
 	request := placement.Request{Service: serviceOf(route, s.ID), Exclude: tried, MustFit: true, Reserve: callersShare}
 	lease := r.tracker.Pick(request)
 	if lease == nil {
 		clear(tried)
 		r.awaitPlace()
-		return "", false
+		return "", "", false
 	}
 	limit := route.Timeout
 	if limit <= 0 {
@@ -102,22 +105,23 @@
 	})
 	if err != nil {
 		lease.Done(r.brokeOr(), nil, 0)
+		r.scoreFailed(s, lease, err)
 		tried[lease.ID] = true
-		return "", false
+		return "", "", false
 	}
 	defer answer.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxScoreAnswer)); err != nil {
 		lease.Done(r.brokeOr(), answer.Load, 0)
+		r.scoreFailed(s, lease, err)
 		tried[lease.ID] = true
-		return "", false
+		return "", "", false
 	}
 	lease.Done(outcomeOf(answer), answer.Load, time.Since(started))
 	if answer.Status < 300 && answer.Signed {
-		return answer.Score, false
+		return answer.Score, lease.ID, false
 	}
-	r.Manager.log.Log(event.BatchScoreFailed, event.F("batch", r.job.ID), event.F("request", s.ID),
-		event.F("replica", lease.ID), event.F("status", answer.Status))
-	return "", answer.Status == http.StatusInternalServerError
+	r.scoreFailed(s, lease, fault.New(fault.Unavailable, "the server answered with status "+strconv.Itoa(answer.Status), "try another server"))
+	return "", lease.ID, answer.Status == http.StatusInternalServerError
 }
 
 // placeWait bounds the wait for a place at a scoring server.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
@@ -73,6 +74,7 @@
 	Gateway  *gateway.Gateway
 	Batches  *batch.Manager
 	Waves    *waves.Manager
+	Measures *measure.Set
 }
 
 // New builds a daemon that is not running but holds its addresses, so that one with port 0
@@ -136,7 +138,8 @@
 		return
 	}
 	d.configuration.Store(next)
-	d.log.Log(event.EdgeConfiguration, event.F("version", next.Version), event.F("routes", len(next.Routes)))
+	d.log.Log(event.EdgeConfiguration, event.F("version", next.Version), event.F("routes", len(next.Routes)),
+		event.F("revision", c.Version), event.F("from", c.From))
 }
 
 func (d *Daemon) replicaChanged(c mirror.Change) {
@@ -145,13 +148,13 @@
 	case c.Deleted:
 		id := c.Key[len(platform.ReplicaKind)+1:]
 		d.Tracker.Remove(id)
-		d.log.Log(event.EdgeReplicaGone, event.F("replica", id))
+		d.log.Log(event.EdgeReplicaGone, event.F("replica", id), event.F("from", c.From))
 	case err != nil:
 		d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
 	default:
 		d.Tracker.Set(replica)
 		d.log.Log(event.EdgeReplica, event.F("replica", replica.ID), event.F("service", replica.Service),
-			event.F("state", string(replica.State)), event.F("versions", replica.Versions))
+			event.F("state", string(replica.State)), event.F("versions", replica.Versions), event.F("from", c.From))
 	}
 }
 
@@ -249,7 +252,7 @@
 
 func (d *Daemon) serveFront(listener net.Listener) *http.Server {
 	server := &http.Server{
-		Handler:           platform.NewFront(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load),
+		Handler:           platform.NewFront(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load, d.log),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	go func() { _ = server.Serve(listener) }() // ends with Shutdown
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -4,10 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"expvar"
-	"io"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -98,19 +94,3 @@
 	}
 	return rank
 }
-
-// serveMetrics serves counters and the state of the modules; nil without an address.
-func (d *Daemon) serveMetrics(listener net.Listener) *http.Server {
-	if listener == nil {
-		return nil
-	}
-	vars := new(expvar.Map).Init()
-	vars.Set("log_dropped", expvar.Func(func() any { return d.output.Dropped() }))
-	vars.Set("store", expvar.Func(func() any { return d.Store.Calls() }))
-	vars.Set("gateway", expvar.Func(func() any { return d.Gateway.Counters() }))
-	vars.Set("connections", expvar.Func(func() any { return d.Backends.Opened() }))
-	vars.Set("peers", expvar.Func(func() any { return d.Conns.Counters() }))
-	return serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, vars.String())
-	}))
-}
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -114,7 +114,7 @@
 func (s *site) start(id string) *process {
 	s.t.Helper()
 	settings := Settings{
-		ID: id, FrontAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort,
+		ID: id, FrontAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort, MetricAddress: anyPort,
 		Region: "r", FailureDomain: "a", Seeds: s.seeds, StopTime: 4 * time.Second,
 		Store:  StoreSettings{Address: s.address, CallTimeout: 500 * time.Millisecond, Watch: 2 * time.Second},
 		Orders: OrderSettings{Lease: time.Second, Fenced: true},
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -6,6 +6,7 @@
 	"github.com/hornbeamtide/hornbeamtide/batch"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
@@ -18,15 +19,17 @@
 	s := d.settings
 	return []any{
 		func() *event.Logger { return d.log },
-		func() *platform.Client {
+		func(h *measure.Set) *platform.Client {
 			return platform.NewClient(platform.Config{
 				Address: s.Store.Address, CallTimeout: s.Store.CallTimeout, Progress: s.Store.Watch, WriteRate: s.Store.Writes,
+				Measures: h,
 			}, d.log)
 		},
 		func() *peer.Pool {
 			return peer.NewPool(peer.Config{Connect: peerConnect, Progress: peerProgress}, d.log)
 		},
 		peer.NewServer,
+		measure.NewSet,
 		placement.NewTracker,
 		platform.NewBackends,
 		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
@@ -35,17 +38,19 @@
 		func(store *platform.Client, conns *peer.Pool) *relay.Store {
 			return relay.New(store, conns, d.otherDaemons, d.log)
 		},
-		func(b *platform.Backends, t *placement.Tracker) *gateway.Gateway { return gateway.New(b, t, d.log) },
-		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends) *batch.Manager {
+		func(b *platform.Backends, t *placement.Tracker, h *measure.Set) *gateway.Gateway {
+			return gateway.New(b, t, h, d.log)
+		},
+		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends, h *measure.Set) *batch.Manager {
 			return batch.NewManager(batch.Parts{
 				Self: s.ID, Store: store, Mirror: m, Members: d.members, Conns: conns, Tracker: t, Backend: b,
-				Configuration: d.configuration.Load, Log: d.log,
+				Configuration: d.configuration.Load, Measures: h, Log: d.log,
 			})
 		},
-		func(store *relay.Store, t *placement.Tracker, b *platform.Backends, batches *batch.Manager) *waves.Manager {
+		func(store *relay.Store, t *placement.Tracker, b *platform.Backends, batches *batch.Manager, h *measure.Set) *waves.Manager {
 			return waves.NewManager(waves.Config{
 				Self: s.ID, Incarnation: d.started.UnixMilli(), Lease: s.Orders.Lease, Fenced: s.Orders.Fenced,
-			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Demand: batches.Demand, Members: d.members, Log: d.log})
+			}, waves.Parts{Store: store, Engines: b, Tracker: t, Configuration: d.configuration.Load, Demand: batches.Demand, Members: d.members, Measures: h, Log: d.log})
 		},
 	}
 }
--- a/event/async.go
+++ b/event/async.go
@@ -10,6 +10,9 @@
 // asyncLines is how many entries wait for a slow reader of the log; more are dropped.
 const asyncLines = 4096
 
+// urgentLines of them are kept for warnings and errors.
+const urgentLines = asyncLines / 4
+
 // AsyncWriter hands entries to a writer in a goroutine of its own: whoever logs never
 // waits for output. Entries that find the queue full are dropped and counted, and the
 // count is written once there is room.
@@ -27,8 +30,23 @@
 	return w
 }
 
-// Write implements io.Writer. It never blocks and never fails.
+// Write implements io.Writer for routine lines. It never blocks and never fails.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	if len(w.queue) >= asyncLines-urgentLines {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	return urgentWriter{w}.Write(line)
+}
+
+// Urgent returns the writer for lines that are kept over routine ones: a part of the queue
+// is theirs alone.
+func (w *AsyncWriter) Urgent() io.Writer { return urgentWriter{w} }
+
+type urgentWriter struct{ *AsyncWriter }
+
+// Write implements io.Writer. It never blocks and never fails.
+func (w urgentWriter) Write(line []byte) (int, error) {
 	select {
 	case w.queue <- append([]byte(nil), line...):
 	default:
--- a/event/event.go
+++ b/event/event.go
@@ -49,14 +49,25 @@
 // Err returns the field that carries an error.
 func Err(err error) Field { return Field{Key: "error", Value: err.Error()} }
 
-// Logger writes events. A nil Logger discards them.
+// Logger writes events. A nil Logger discards them. Lines of one event beyond its rate are
+// left out; the next line of that event tells how many.
 type Logger struct {
-	entry *logrus.Entry
+	entry  *logrus.Entry
+	urgent *logrus.Entry // for warnings and errors
+	limits *limits
 }
 
-// NewLogger returns a Logger that writes to l with the given fields on each entry.
+// NewLogger returns a Logger that writes to l with the given fields on each entry. If l
+// writes to an AsyncWriter, warnings and errors are kept there over routine lines.
 func NewLogger(l *logrus.Logger, fields ...Field) *Logger {
-	return &Logger{entry: l.WithFields(toFields(fields))}
+	logger := &Logger{entry: l.WithFields(toFields(fields)), limits: newLimits()}
+	logger.urgent = logger.entry
+	if w, ok := l.Out.(*AsyncWriter); ok {
+		urgent := logrus.New()
+		urgent.Out, urgent.Formatter, urgent.Level = w.Urgent(), l.Formatter, l.Level
+		logger.urgent = urgent.WithFields(toFields(fields))
+	}
+	return logger
 }
 
 // Log writes one event.
@@ -64,7 +75,28 @@
 	if l == nil || !l.entry.Logger.IsLevelEnabled(e.Level) {
 		return
 	}
-	l.entry.WithField("event", e.Number).WithFields(toFields(fields)).Log(e.Level, e.Text)
+	allowed, skipped := l.limits.allow(e.Number)
+	if !allowed {
+		return
+	}
+	entry := l.entry
+	if e.Level <= logrus.WarnLevel {
+		entry = l.urgent
+	}
+	data := toFields(fields)
+	data["event"] = e.Number
+	if skipped > 0 {
+		data["skipped"] = skipped
+	}
+	entry.WithFields(data).Log(e.Level, e.Text)
+}
+
+// Skipped returns how many lines were left out because their event came too often.
+func (l *Logger) Skipped() int64 {
+	if l == nil {
+		return 0
+	}
+	return l.limits.total.Load()
 }
 
 func toFields(fields []Field) logrus.Fields {
--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync"
 	"testing"
@@ -90,9 +91,20 @@
 	n.list(objectapi.Live)
 	n.serve(listener)
 	c.t.Cleanup(n.stop)
+	c.t.Cleanup(n.showIfFailed)
 	return n
 }
 
+// showIfFailed tells what the daemon believes when its test fails.
+func (n *node) showIfFailed() {
+	if !n.cluster.t.Failed() {
+		return
+	}
+	text, err := json.Marshal(n.Dump())
+	n.cluster.t.Logf("%s: ready %v, asked %v, list known %v, documents %v, %s %v",
+		n.self.ID, n.Ready(), n.asked.Load(), n.listKnown(), n.documents.ready(), text, err)
+}
+
 func (n *node) list(state objectapi.InstanceState) {
 	n.cluster.fake.SetInstance(objectapi.Instance{
 		ID: n.self.ID, Pool: objectapi.DaemonPool, Address: n.self.Address, PeerAddress: n.self.PeerAddress,
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -7,13 +7,14 @@
 	Requests int64 `json:"requests"`
 	Answered int64 `json:"answered"` // with a replica's answer
 	Failed   int64 `json:"failed"`   // with an error of this daemon
+	Canceled int64 `json:"canceled"` // by a caller that left
 }
 
 type counters struct {
-	requests, answered, failed atomic.Int64
+	requests, answered, failed, canceled atomic.Int64
 }
 
 // Counters returns the counts so far.
 func (g *Gateway) Counters() Counters {
-	return Counters{Requests: g.counts.requests.Load(), Answered: g.counts.answered.Load(), Failed: g.counts.failed.Load()}
+	return Counters{Requests: g.counts.requests.Load(), Answered: g.counts.answered.Load(), Failed: g.counts.failed.Load(), Canceled: g.counts.canceled.Load()}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -42,15 +43,16 @@
 
 // Gateway forwards requests.
 type Gateway struct {
-	backend upstream.Backend
-	tracker *placement.Tracker
-	log     *event.Logger
-	counts  counters
+	backend  upstream.Backend
+	tracker  *placement.Tracker
+	measures *measure.Set
+	log      *event.Logger
+	counts   counters
 }
 
 // New returns a gateway.
-func New(backend upstream.Backend, tracker *placement.Tracker, log *event.Logger) *Gateway {
-	return &Gateway{backend: backend, tracker: tracker, log: log}
+func New(backend upstream.Backend, tracker *placement.Tracker, measures *measure.Set, log *event.Logger) *Gateway {
+	return &Gateway{backend: backend, tracker: tracker, measures: measures, log: log}
 }
 
 // attempt is a request on its way.
@@ -59,11 +61,14 @@
 
 	request  Request
 	route    *catalog.Route
+	begun    time.Time
 	deadline time.Time // of the answer
 	tried    map[string]bool
-	sent     int   // replicas to which it was sent
-	mayRan   bool  // a replica may have run it
-	last     error // why the last replica did not serve
+	sent     int    // replicas to which it was sent
+	mayRan   bool   // a replica may have run it
+	last     error  // why the last replica did not serve
+	server   string // that served
+	status   int    // of its answer
 }
 
 // Deadline returns when a request must be answered: the earlier of the caller's deadline
@@ -89,21 +94,21 @@
 // fault.NotRun only if no replica ran the request or ever will.
 func (g *Gateway) Forward(ctx context.Context, w http.ResponseWriter, route *catalog.Route, request Request) error {
 	a := &attempt{
-		Gateway: g, request: request, route: route,
+		Gateway: g, request: request, route: route, begun: time.Now(),
 		deadline: Deadline(route, request.Left), tried: map[string]bool{},
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	g.counts.requests.Add(1)
-	err := a.run(ctx, w)
-	if err != nil {
-		g.counts.failed.Add(1)
-		g.log.Log(event.GatewayFailed, event.F("request", request.ID), event.F("route", route.Name),
-			event.F("sent", a.sent), event.F("may_have_run", a.mayRan), event.Err(err))
-	}
+	err := errCut // what holds if run panics because the answer broke off
+	defer func() { a.ended(ctx, err) }()
+	err = a.run(ctx, w)
 	return err
 }
 
+// errCut says that a part of the answer was passed on and the rest is not.
+var errCut = fault.New(fault.Truncated, "the answer broke off on its way to the caller", "resume or repeat it")
+
 // run makes attempts until one serves, none is left or the deadline passes.
 func (a *attempt) run(ctx context.Context, w http.ResponseWriter) error {
 	for {
@@ -117,11 +122,13 @@
 		if lease == nil {
 			return a.giveUp()
 		}
+		a.logPlaced(lease)
 		a.tried[lease.ID] = true
 		served, err := a.try(ctx, w, lease)
 		if served {
 			return nil
 		}
+		a.tell(lease, err)
 		a.last = err
 		if a.mayRan && !mayRepeat(a.route) {
 			return a.giveUp()
@@ -129,11 +136,14 @@
 	}
 }
 
-func (a *attempt) pick() *placement.Lease {
-	return a.tracker.Pick(placement.Request{
+func (a *attempt) pick() *placement.Lease { return a.tracker.Pick(a.needs()) }
+
+// needs are what the replica of the next attempt must be.
+func (a *attempt) needs() placement.Request {
+	return placement.Request{
 		Service: ChooseService(a.route.Split, rand.Float64()), Exclude: a.tried,
 		Model: a.request.Model, Affinity: a.request.Affinity,
-	})
+	}
 }
 
 // ChooseService takes a share of the split; point is from 0 up to 1.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,7 +34,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			lease.Done(placement.Answered, answer.Load, 0)
-			a.counts.answered.Add(1)
+			a.server, a.status = lease.ID, answer.Status
 			return true, nil
 		case err != nil:
 			lease.Done(brokeUnless(ctx), answer.Load, 0)
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -23,6 +24,7 @@
 		Host: a.request.Host, Header: a.request.Header, Body: a.request.Body,
 		Left: time.Until(a.deadline), ResumeAfter: a.request.ResumeAfter, MayRepeat: mayRepeat(a.route),
 	})
+	a.measureHead(answer, err, time.Since(started))
 	if err != nil {
 		a.sentUnless(fault.OutcomeOf(err) == fault.NotRun)
 		lease.Done(brokeUnless(ctx), nil, 0)
@@ -46,6 +48,17 @@
 	return a.deliver(ctx, w, lease, answer, started)
 }
 
+func (a *attempt) measureHead(answer *upstream.Answer, err error, took time.Duration) {
+	outcome := answered
+	switch {
+	case err != nil:
+		outcome = failed
+	case answer.NotRun:
+		outcome = notRun
+	}
+	a.measures.Observe(measure.RequestHead, took, a.route.Name, outcome)
+}
+
 // sentUnless counts an attempt that reached a replica.
 func (a *attempt) sentUnless(notRun bool) {
 	if !notRun {
@@ -77,7 +90,7 @@
 		return false, fault.New(fault.Unavailable, "replica "+lease.ID+" failed with status "+strconv.Itoa(answer.Status), "try another replica")
 	}
 	lease.Done(placement.Answered, answer.Load, time.Since(started))
-	a.counts.answered.Add(1)
+	a.server, a.status = lease.ID, answer.Status
 	copyHeader(w.Header(), answer.Header)
 	if whole {
 		w.Header().Set("Content-Length", strconv.Itoa(len(head)))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -52,8 +52,15 @@
 	objectapi.Object
 
 	Deleted bool
+	From    string // the daemon that told it, FromStore, or FromSelf
 }
 
+// Where a change came from, if not from another daemon.
+const (
+	FromStore = "store"
+	FromSelf  = "self"
+)
+
 // Mirror is the copy. Its observers are called in the order of changes, one at a time.
 type Mirror struct {
 	config  Config
@@ -84,6 +91,7 @@
 	observe  []func(Change)
 	answered time.Time            // when a watch call of this daemon was answered last
 	doubted  map[string]time.Time // keys of objects that are deleted then
+	source   string               // of the last change
 }
 
 // New returns an empty mirror. Observe must be called before Run.
@@ -130,6 +138,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if k := m.kinds[kind]; k.objects[o.Key].Version < o.Version {
+		k.source = FromSelf
 		k.set(Change{Object: o})
 	}
 }
@@ -249,6 +258,7 @@
 }
 
 func (k *kindCopy) set(change Change) {
+	change.From = k.source
 	delete(k.doubted, change.Key)
 	if change.Deleted {
 		delete(k.objects, change.Key)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -61,7 +61,7 @@
 	pass := func() int {
 		answer, _ := source.newsFor(target.question(0))
 		for _, n := range answer.News {
-			target.take(n, false)
+			target.take(n, "other", false)
 		}
 		return len(answer.News)
 	}
@@ -84,7 +84,7 @@
 func TestOlderNewsAreIgnored(t *testing.T) {
 	m := testMirror()
 	m.replace("servers", objectapi.Snapshot{Revision: 9, Objects: []objectapi.Object{object("a", 8)}})
-	if m.take(&mirrorpb.News{Kind: "servers", Revision: 7}, false) || !has(m, "a") {
+	if m.take(&mirrorpb.News{Kind: "servers", Revision: 7}, "other", false) || !has(m, "a") {
 		t.Error("an older state replaced a newer one")
 	}
 }
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -170,7 +170,7 @@
 	blind := m.age() > blindAge
 	news := false
 	for _, n := range answer.News {
-		if m.take(n, blind) {
+		if m.take(n, from.ID, blind) {
 			news = true
 		}
 	}
@@ -199,12 +199,13 @@
 	return request
 }
 
-// take applies a daemon's news of one kind. The caller holds the lock.
-func (m *Mirror) take(news *mirrorpb.News, blind bool) bool {
+// take applies the news of one kind from a daemon. The caller holds the lock.
+func (m *Mirror) take(news *mirrorpb.News, from string, blind bool) bool {
 	k := m.kinds[news.Kind]
 	if k == nil || news.Revision <= k.revision {
 		return false
 	}
+	k.source = from
 	changed := make([]objectapi.Object, 0, len(news.Changed))
 	for _, o := range news.Changed {
 		changed = append(changed, objectapi.Object{Key: o.Key, Version: o.Version, Value: o.Value})
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -189,6 +189,7 @@
 	if list.Revision < k.revision {
 		return
 	}
+	k.source = FromStore
 	keys := make(map[string]bool, len(list.Objects))
 	for _, o := range list.Objects {
 		keys[o.Key] = true
@@ -210,7 +211,7 @@
 	if change.Revision <= k.revision {
 		return
 	}
-	k.revision = change.Revision
+	k.revision, k.source = change.Revision, FromStore
 	switch {
 	case change.Bookmark:
 		return
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -36,18 +36,54 @@
 func (t *Tracker) Pick(request Request) *Lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := t.candidates(request)
-	if request.MustFit {
-		candidates = keep(keep(candidates, t.isTrusted), request.fits)
-	} else {
-		candidates = prefer(prefer(candidates, t.isTrusted), hasRoom)
-	}
-	chosen := choose(candidates, request.Affinity, medianPace(candidates))
+	s := t.survey(request)
+	chosen := choose(s.candidates, request.Affinity, medianPace(s.candidates))
 	if chosen == nil {
 		return nil
 	}
+	lease := &Lease{Replica: chosen.Replica, Choice: s.choice, tracker: t}
+	lease.Choice.Load, lease.Choice.Slots, lease.Choice.LoadAge = t.loadOf(chosen), slotsOf(chosen), t.ageOf(chosen)
 	chosen.inProgress++
-	return &Lease{Replica: chosen.Replica, tracker: t}
+	return lease
+}
+
+// Survey tells what a choice for the request would be made from, without making it.
+func (t *Tracker) Survey(request Request) Choice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.survey(request).choice
+}
+
+// survey is the state of the filters for one request.
+type survey struct {
+	candidates []candidate // that the last filter left
+	choice     Choice
+}
+
+func (t *Tracker) survey(request Request) survey {
+	able := t.candidates(request)
+	trusted := keep(able, t.isTrusted)
+	s := survey{choice: Choice{Able: len(able), Trusted: len(trusted)}}
+	for _, r := range t.replicas {
+		if r.Service == request.Service {
+			s.choice.Listed++
+		}
+	}
+	if request.MustFit {
+		s.candidates = keep(trusted, request.fits)
+		s.choice.Free = len(s.candidates)
+		return s
+	}
+	if len(trusted) == 0 {
+		trusted = able
+	}
+	free := keep(trusted, hasRoom)
+	s.choice.Free = len(free)
+	s.candidates = free
+	if len(free) == 0 {
+		s.candidates = trusted
+	}
+	return s
 }
 
 // candidates are the replicas that may run the request at all.
@@ -104,14 +140,6 @@
 	return kept
 }
 
-// prefer keeps the candidates for which the condition holds, or all if there are none.
-func prefer(candidates []candidate, holds func(candidate) bool) []candidate {
-	if kept := keep(candidates, holds); len(kept) > 0 {
-		return kept
-	}
-	return candidates
-}
-
 func medianPace(candidates []candidate) float64 {
 	var paces []float64
 	for _, c := range candidates {
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -10,7 +10,7 @@
 )
 
 func tracker(n int) *Tracker {
-	t := NewTracker()
+	t := NewTracker(nil)
 	for i := range n {
 		t.Set(catalog.Replica{ID: fmt.Sprint("r", i), Service: "s", Slots: 4, State: catalog.Ready, Versions: map[string]int64{"m": int64(i)}})
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
 
@@ -44,6 +45,7 @@
 // Tracker keeps the replicas of all services.
 type Tracker struct {
 	now func() time.Time
+	log *event.Logger
 
 	mu       sync.Mutex
 	replicas map[string]*replica // by ID
@@ -51,8 +53,8 @@
 }
 
 // NewTracker returns a tracker without replicas.
-func NewTracker() *Tracker {
-	return &Tracker{now: time.Now, replicas: map[string]*replica{}, changed: make(chan struct{})}
+func NewTracker(log *event.Logger) *Tracker {
+	return &Tracker{now: time.Now, log: log, replicas: map[string]*replica{}, changed: make(chan struct{})}
 }
 
 // Set adds a replica or replaces what its entry says. Another incarnation under the same
@@ -142,6 +144,8 @@
 type Lease struct {
 	catalog.Replica
 
+	Choice Choice // how it was chosen
+
 	tracker *Tracker
 }
 
@@ -173,6 +177,9 @@
 	}
 	switch outcome {
 	case Answered:
+		if r.failures > 0 {
+			t.log.Log(event.PlacementCleared, event.F("replica", l.ID), event.F("failures", r.failures))
+		}
 		r.failures, r.suspect = 0, time.Time{}
 	case Refused:
 		r.suspect = t.now().Add(refusalPause)
@@ -181,7 +188,9 @@
 		}
 	case Broke:
 		r.failures++
-		r.suspect = t.now().Add(min(suspicion<<min(r.failures-1, 10), maxSuspicion))
+		pause := min(suspicion<<min(r.failures-1, 10), maxSuspicion)
+		r.suspect = t.now().Add(pause)
+		t.log.Log(event.PlacementSuspected, event.F("replica", l.ID), event.F("failures", r.failures), event.F("for_ms", pause.Milliseconds()))
 	}
 	if pace > 0 {
 		ms := float64(pace) / float64(time.Millisecond)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,6 +72,9 @@
 	defer s.mu.Unlock()
 	before := time.Now().Before(s.avoid)
 	if !outOfReach(err) {
+		if !s.avoid.IsZero() {
+			s.log.Log(event.RelayEnded)
+		}
 		s.avoid = time.Time{}
 		return
 	}
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 )
@@ -52,6 +53,7 @@
 	Configuration func() *catalog.Configuration
 	Demand        func() map[string]float64 // recent work by model
 	Members       func() map[string]string  // addresses of all daemons by ID
+	Measures      *measure.Set
 	Log           *event.Logger
 }
 
@@ -101,6 +103,7 @@
 		return
 	}
 	m.versions[v.Model] = v.Version
+	m.Log.Log(event.WaveNamed, event.F("model", v.Model), event.F("version", v.Version))
 	m.wakeUp()
 }
 
--- a/waves/orders.go
+++ b/waves/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/measure"
 )
 
 // giveOrders follows the orders in progress and gives new ones while there is room.
@@ -52,6 +53,11 @@
 		return
 	}
 	m.seen(w.replica, report)
+	if report.Versions[p.model] >= p.version {
+		m.Measures.Observe(measure.WeightLoad, time.Since(p.given), p.model)
+		m.Log.Log(event.WaveLoaded, event.F("replica", w.replica.ID), event.F("model", p.model), event.F("version", p.version),
+			event.F("ms", time.Since(p.given).Milliseconds()))
+	}
 	if report.Versions[p.model] >= p.version || !report.Busy && time.Since(p.given) > orderPatience {
 		m.forget(w.replica.ID)
 	}
