fleet: a daemon that has a role before its first read of the platform gets ready

A peer told it the list before its own first read; the direct read was then skipped for good, and only it marks the platform as asked. Ruled out: slowness (980 exchanges were made meanwhile). Change: the first read is made whatever role the daemon has by then.

--- a/fleet/direct.go
+++ b/fleet/direct.go
@@ -6,11 +6,11 @@
 	"github.com/hornbeamtide/hornbeamtide/fleet/fleetpb"
 )
 
-// readDirect reads the platform while this daemon neither attends a collector nor is
-// one: at once at the start, later at a jittered interval.
+// readDirect reads the platform at once at the start, whatever role this daemon has by
+// then, and later at a jittered interval while it neither attends a collector nor is one.
 func (m *Manager) readDirect(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !m.member.attached() && !m.collector.running() {
+		if !m.asked.Load() || !m.member.attached() && !m.collector.running() {
 			m.counts.directReads.Add(1)
 			m.readPlatform(ctx)
 		}
--- a/fleet/manager_test.go
+++ b/fleet/manager_test.go
@@ -70,3 +70,25 @@
 		t.Errorf("members %v, want only itself", members)
 	}
 }
+
+// A daemon whose roles are placed, from a list that a peer told it, before its first look
+// at the platform is ready all the same.
+func TestDaemonThatHasARoleBeforeItsFirstReadIsReady(t *testing.T) {
+	roles := map[string]func(m *Manager){
+		"collector": func(m *Manager) { m.collector.setActive(time.Now()) },
+		"attends":   func(m *Manager) { m.member.attach(Member{ID: "d2"}) },
+	}
+	for name, take := range roles {
+		t.Run(name, func(t *testing.T) {
+			fake := fakeplatform.New(fakeplatform.Config{Instances: []objectapi.Instance{replicaInstance("s1", "x")}})
+			client := platform.NewClient(platform.Config{Address: servePlatform(t, fake)}, nil)
+			defer client.Close()
+			m := NewManager(Config{Self: Member{ID: "d1", Region: "r", FailureDomain: "x"}, Parse: testParse}, client, client, nil, nil)
+			take(m)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go m.readDirect(ctx)
+			eventually(t, "ready", m.Ready)
+		})
+	}
+}
