--- a/batch/manager.go
+++ b/batch/manager.go
@@ -140,7 +140,9 @@
 	}
 	if !k.ended {
 		k.ended, k.endedAt = true, time.Now()
-		m.log.Log(event.BatchEnded, event.F("batch", id), event.F("listed", k.log.size()), event.F("runs_here", k.run != nil))
+		if k.run != nil {
+			m.log.Log(event.BatchEnded, event.F("batch", id), event.F("listed", k.log.size()), event.F("total", k.total()))
+		}
 	}
 	k.cancel()
 }
--- a/cmd/hornbeamtide/options.go
+++ b/cmd/hornbeamtide/options.go
@@ -81,6 +81,7 @@
 		{"status", "Show what is in force", "Shows daemons, where each document is in force, and alarms.", &statusCommand{remote: r}},
 		{"alarms", "Show alarms", "Shows the raised alarms of all daemons with evidence and remedy.", &alarmsCommand{remote: r}},
 		{"dump", "Show a daemon's state", "Prints the state of every module of one daemon as JSON.", &dumpCommand{remote: r}},
+		{"trace", "Tell what happened to a request", "Tells the story of one request, item or batch from the logs of several daemons.", &traceCommand{app: a}},
 		{"version", "Show the version", "Shows the version of this program.", &versionCommand{app: a}},
 	}
 }
--- /dev/null
+++ b/cmd/hornbeamtide/trace.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/trace"
+)
+
+// traceCommand tells the story of one ID from logs.
+type traceCommand struct {
+	*app
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"yes" description:"of a request, item or batch"`
+		Files []string `positional-arg-name:"FILE" description:"logs of daemons in JSON, several in one file or not; none: standard input"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *traceCommand) Execute([]string) error {
+	var entries []trace.Entry
+	if len(c.Args.Files) == 0 {
+		read, err := trace.Read(os.Stdin)
+		if err != nil {
+			return err
+		}
+		entries = read
+	}
+	for _, name := range c.Args.Files {
+		read, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		entries = append(entries, read...)
+	}
+	story := trace.Tell(c.Args.ID, entries)
+	if len(story.Lines) == 0 {
+		return fault.New(fault.NotFound, "no entry names "+c.Args.ID, "check the id, and give the logs of all daemons")
+	}
+	return story.Print(c.stdout)
+}
+
+func readLog(name string) ([]trace.Entry, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the log can't be opened", "name an existing file")
+	}
+	defer f.Close()
+	return trace.Read(io.Reader(f))
+}
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
 
 	"github.com/hornbeamtide/hornbeamtide/admission"
@@ -205,15 +204,5 @@
 
 // newLogger returns a logger of its own, as the settings say.
 func newLogger(s Settings, output io.Writer) *event.Logger {
-	logger := logrus.New()
-	logger.SetOutput(output)
-	if level, err := logrus.ParseLevel(string(s.Log.Level)); err == nil {
-		logger.SetLevel(level)
-	}
-	if s.Log.Format == "json" {
-		logger.SetFormatter(&logrus.JSONFormatter{})
-	} else {
-		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
-	}
-	return event.NewLogger(logger, event.F("daemon", s.Daemon.ID))
+	return event.NewLogger(event.NewLogrus(output, string(s.Log.Level), string(s.Log.Format)), event.F("daemon", s.Daemon.ID))
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
 	"storj.io/drpc"
 
@@ -281,14 +280,5 @@
 }
 
 func newLogger(s Settings, output io.Writer) *event.Logger {
-	logger := logrus.New()
-	logger.SetOutput(output)
-	if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
-		logger.SetLevel(level)
-	}
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	if s.Log.Format == "text" {
-		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
-	}
-	return event.NewLogger(logger, event.F("daemon", s.ID))
+	return event.NewLogger(event.NewLogrus(output, s.Log.Level, s.Log.Format), event.F("daemon", s.ID))
 }
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -43,6 +43,7 @@
 	desks   []*fakereplica.Replica
 	daemons []*process
 	seeds   string
+	log     io.Writer // of all daemons, at level info; nil for none
 }
 
 // process is one daemon that can be stopped, or killed without a stop.
@@ -54,9 +55,12 @@
 	done   chan struct{}
 }
 
-func newSite(t *testing.T, daemons int) *site {
+func newSite(t *testing.T, daemons int, options ...func(*site)) *site {
 	t.Helper()
 	s := &site{t: t, store: fakeplatform.New(fakeplatform.Config{})}
+	for _, option := range options {
+		option(s)
+	}
 	server := httptest.NewServer(s.store.Handler())
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
@@ -120,7 +124,11 @@
 		Orders: OrderSettings{Lease: time.Second, Fenced: true},
 		Log:    LogSettings{Level: "error"},
 	}
-	d, err := New(settings, io.Discard)
+	var output io.Writer = io.Discard
+	if s.log != nil {
+		output, settings.Log.Level = s.log, "info"
+	}
+	d, err := New(settings, output)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -3,6 +3,7 @@
 package event
 
 import (
+	"io"
 	"sort"
 
 	"github.com/sirupsen/logrus"
@@ -106,3 +107,21 @@
 	}
 	return out
 }
+
+// timeFormat tells milliseconds: entries of several daemons are put in order by it.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// NewLogrus returns a logger that writes entries of a level (by name) or above to w, as
+// "json" or "text".
+func NewLogrus(w io.Writer, level, format string) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(w)
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		logger.SetLevel(parsed)
+	}
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
+	if format == "text" {
+		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
+	}
+	return logger
+}
--- /dev/null
+++ b/trace/story_test.go
@@ -0,0 +1,106 @@
+package trace
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/event"
+)
+
+// log is a log of one line an entry, as a collector of logs hands it on.
+type log struct {
+	t    *testing.T
+	text bytes.Buffer
+}
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func (l *log) add(ms int, daemon string, e event.Event, fields string) {
+	at := noon.Add(time.Duration(ms) * time.Millisecond).Format("2006-01-02T15:04:05.000Z07:00")
+	if fields != "" {
+		fields = "," + fields
+	}
+	fmt.Fprintf(&l.text, "   1.5 %s {\"daemon\":%q,\"time\":%q,\"event\":%d,\"level\":%q,\"msg\":%q%s}\n",
+		daemon, daemon, at, e.Number, e.Level, e.Text, fields)
+}
+
+func (l *log) tell(id string) string {
+	l.t.Helper()
+	entries, err := Read(&l.text)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := Tell(id, entries).Print(&out); err != nil {
+		l.t.Fatal(err)
+	}
+	return out.String()
+}
+
+// inOrder reports the first of the parts that does not follow the one before it.
+func inOrder(text string, parts ...string) string {
+	for _, part := range parts {
+		_, rest, found := strings.Cut(text, part)
+		if !found {
+			return part
+		}
+		text = rest
+	}
+	return ""
+}
+
+func TestStoryOfAnItemIsToldInOrderAcrossClocks(t *testing.T) {
+	l := &log{t: t}
+	// The clock of d1, which sent the batch to its host, is 700 ms behind.
+	l.add(-700, "d1", event.BatchForwarded, `"batch":"lot","host":"d2"`)
+	l.add(-5, "d2", event.MirrorStoreLost, `"kind":"servers"`)
+	l.add(-10, "d2", event.BatchAccepted, `"batch":"lot","items":2`)
+	l.add(20, "d2", event.BatchItemPlaced, `"batch":"lot","item":"i1","replica":"e1"`)
+	l.add(30, "d2", event.BatchItemPlaced, `"batch":"lot","item":"i2","replica":"e2"`)
+	l.add(40, "d2", event.PlacementSuspected, `"replica":"e1","failures":1`)
+	l.add(45, "d2", event.PlacementSuspected, `"replica":"e9","failures":1`)
+	l.add(50, "d2", event.BatchItemMoved, `"batch":"lot","item":"i1","replica":"e1"`)
+	l.add(60, "d2", event.GatewayAnswered, `"request":"other","replica":"e1"`)
+	l.add(70, "d2", event.BatchItemScored, `"batch":"lot","item":"i1","request":"s1","replica":"q1"`)
+	l.add(65, "d2", event.BatchScoreFailed, `"batch":"lot","request":"s1","replica":"q2"`)
+	l.add(80, "d2", event.BatchListed, `"batch":"lot","items":["i2"]`)
+	l.add(90, "d2", event.BatchListed, `"batch":"lot","items":["i1"]`)
+	l.add(95, "d3", event.EdgeStarted, "")
+	l.add(9000, "d2", event.MirrorStoreRegained, "")
+	l.text.WriteString("a line without JSON\n{\"event\":broken\n")
+	got := l.tell("i1")
+	if missing := inOrder(got, "clock of d1 is taken as 691ms",
+		"batch accepted", "batch sent to its host", "- d2", "store lost", "item placed", "replica suspected", "item goes on elsewhere",
+		"scoring request failed", "item scored", "results listed"); missing != "" {
+		t.Errorf("%q is missing or out of order in\n%s", missing, got)
+	}
+	for _, foreign := range []string{"i2", "e9", "other", "d3", "regained"} {
+		if strings.Contains(got, foreign) {
+			t.Errorf("%s has no part in\n%s", foreign, got)
+		}
+	}
+}
+
+func TestStoryOfABatchTellsOfItsItemsWhatWentWrong(t *testing.T) {
+	l := &log{t: t}
+	l.add(0, "d2", event.BatchAccepted, `"batch":"lot"`)
+	l.add(1, "d2", event.BatchItemPlaced, `"batch":"lot","item":"i1","replica":"e1"`)
+	l.add(2, "d2", event.BatchItemMoved, `"batch":"lot","item":"i1","replica":"e1"`)
+	l.add(3, "d2", event.BatchItemErrored, `"batch":"lot","item":"i2"`)
+	l.add(4, "d2", event.BatchListed, `"batch":"lot","items":["i1","i3","i4","i5"]`)
+	got := l.tell("lot")
+	if missing := inOrder(got, "batch accepted", "goes on elsewhere", "item given up", "and 1 more"); missing != "" || strings.Contains(got, "item placed") {
+		t.Errorf("%q is missing in\n%s", missing, got)
+	}
+}
+
+func TestUnknownIDHasNoStory(t *testing.T) {
+	l := &log{t: t}
+	l.add(0, "d2", event.GatewayAnswered, `"request":"r"`)
+	if got := l.tell("r1"); got != "" {
+		t.Errorf("story %s", got)
+	}
+}
