gateway: a route that leaves its requests too little time takes no trust from replicas

Ruled out: replicas that were silent (the same ones answered other routes meanwhile). Change: once requests of a route ran out of time at two replicas without an answer between them, the route is to blame.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,12 +47,13 @@
 	tracker  *placement.Tracker
 	measures *measure.Set
 	log      *event.Logger
+	blame    *blame
 	counts   counters
 }
 
 // New returns a gateway.
 func New(backend upstream.Backend, tracker *placement.Tracker, measures *measure.Set, log *event.Logger) *Gateway {
-	return &Gateway{backend: backend, tracker: tracker, measures: measures, log: log}
+	return &Gateway{backend: backend, tracker: tracker, measures: measures, log: log, blame: newBlame()}
 }
 
 // attempt is a request on its way.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,7 +37,7 @@
 			a.server, a.status = lease.ID, answer.Status
 			return true, nil
 		case err != nil:
-			lease.Done(brokeUnless(ctx), answer.Load, 0)
+			lease.Done(a.broke(ctx, lease.ID), answer.Load, 0)
 			a.log.Log(event.GatewayStreamBroke, event.F("request", a.request.ID), event.F("replica", lease.ID), event.F("cause", fmt.Sprint(err)))
 			panic(http.ErrAbortHandler)
 		}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,7 +28,7 @@
 	a.measureHead(answer, err, time.Since(started))
 	if err != nil {
 		a.sentUnless(fault.OutcomeOf(err) == fault.NotRun)
-		lease.Done(brokeUnless(ctx), nil, 0)
+		lease.Done(a.broke(ctx, lease.ID), nil, 0)
 		return false, err
 	}
 	defer answer.Body.Close()
@@ -67,10 +68,13 @@
 	}
 }
 
-// brokeUnless is the outcome of a request without an answer: no evidence against the
-// replica if the caller left.
-func brokeUnless(ctx context.Context) placement.Outcome {
-	if ctx.Err() == context.Canceled {
+// broke is the outcome of a request without a whole answer: no evidence against the replica
+// if the caller left, or if the route leaves its requests too little time.
+func (a *attempt) broke(ctx context.Context, replica string) placement.Outcome {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return placement.Unclear
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !a.blame.outOfTime(a.route.Name, replica):
 		return placement.Unclear
 	}
 	return placement.Broke
@@ -81,7 +85,7 @@
 func (a *attempt) deliver(ctx context.Context, w http.ResponseWriter, lease *placement.Lease, answer *upstream.Answer, started time.Time) (bool, error) {
 	head, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldBody))
 	if err != nil {
-		lease.Done(brokeUnless(ctx), answer.Load, 0)
+		lease.Done(a.broke(ctx, lease.ID), answer.Load, 0)
 		return false, fault.Wrap(err, fault.Truncated, "the answer of replica "+lease.ID+" broke off", "try another replica")
 	}
 	whole := len(head) < maxHeldBody
@@ -90,6 +94,7 @@
 		return false, fault.New(fault.Unavailable, "replica "+lease.ID+" failed with status "+strconv.Itoa(answer.Status), "try another replica")
 	}
 	lease.Done(placement.Answered, answer.Load, time.Since(started))
+	a.blame.answered(a.route.Name)
 	a.server, a.status = lease.ID, answer.Status
 	copyHeader(w.Header(), answer.Header)
 	if whole {
