batch: texts that straggle go on at a faster replica

The decision lines show where: a step of 5 or 6 groups needs all its items; nine replicas turn 3.5 times slower from 12.5 to 20.5 s, and a text of 142 events that sits there takes 12.3 s, due after 7.5. Others wait 1 to 4 s in an engine's queue, since two daemons chose it within 70 ms. Ruled out: loads of weights under running texts (one load in 12 s), preemption (none), too few slots (264 for about 270 items). Change: a text leaves its replica if its last 8 events took 2.5 times as long as usual, or its first does not come, while another replica that is not slow has a place; at most three times, not on routes of one version. The pace of replicas is learnt while texts run.

--- a/batch/item.go
+++ b/batch/item.go
@@ -82,6 +82,8 @@
 	defer silence.Stop()
 	text := r.text(t.item.ID)
 	begun := time.Now()
+	s := &textStream{task: t, lease: lease, cancel: cancel, pace: paceRecord{sent: begun}}
+	defer r.begin(s)()
 	r.logPlaced(t, lease, len(text.Events))
 	answer, err := r.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: t.item.ID, Method: http.MethodPost, Target: t.item.Path,
@@ -89,8 +91,7 @@
 		ResumeAfter: int64(len(text.Events)), MayRepeat: true,
 	})
 	if err != nil {
-		lease.Done(r.brokeOr(), nil, 0)
-		return err
+		return r.streamFailed(s, err, 0)
 	}
 	defer answer.Body.Close()
 	lease.Report(answer.Load)
@@ -102,7 +103,7 @@
 		return err
 	}
 	started, before := time.Now(), len(text.Events)
-	err = r.readEvents(t, answer, &text, begun, silence)
+	err = r.readEvents(s, answer, &text, silence)
 	r.keepText(t.item.ID, text)
 	r.textEnded(t, lease, &text, begun, err)
 	made := len(text.Events) - before
@@ -116,8 +117,18 @@
 	case errors.Is(err, errTooOld):
 		lease.Done(placement.Unclear, nil, 0)
 	default:
-		lease.Done(r.brokeOr(), nil, pace)
+		return r.streamFailed(s, err, pace)
+	}
+	return err
+}
+
+// streamFailed records a stream that ended early and returns why.
+func (r *run) streamFailed(s *textStream, err error, pace time.Duration) error {
+	if s.wasMoved() {
+		s.lease.Done(placement.Unclear, nil, pace)
+		return errStraggles
 	}
+	s.lease.Done(r.brokeOr(), nil, pace)
 	return err
 }
 
@@ -166,10 +177,10 @@
 }
 
 // readEvents appends a replica's events to the text until its end.
-func (r *run) readEvents(t *task, answer *upstream.Answer, text *Text, begun time.Time, silence *time.Timer) error {
+func (r *run) readEvents(s *textStream, answer *upstream.Answer, text *Text, silence *time.Timer) error {
 	first := int64(len(text.Events)) + 1
 	single := false
-	if route, ok := r.routeOf(t.item); ok {
+	if route, ok := r.routeOf(s.task.item); ok {
 		single = route.SingleVersion
 	}
 	events := r.backend.Events(answer)
@@ -196,8 +207,9 @@
 			return fault.New(fault.Stale, "the weights changed within a text of one version", "begin it anew")
 		}
 		if text.add(e.Data, e.Version); e.ID == first {
-			r.measures.Observe(measure.ItemFirst, time.Since(begun), r.job.Model)
+			r.measures.Observe(measure.ItemFirst, time.Since(s.pace.sent), r.job.Model)
 		}
+		s.add()
 		silence.Reset(eventLimit)
 	}
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -20,12 +20,13 @@
 	cancel context.CancelFunc
 	done   chan struct{} // closed when all of the run's goroutines ended
 
-	mu     sync.Mutex
-	texts  map[string]*Text // of items that are not finished
-	whole  map[string]*Text // of items that are, for a later batch in which they come back
-	queue  []*task
-	left   map[string]int // unfinished items by group
-	queued chan struct{}  // the queue grew
+	mu      sync.Mutex
+	texts   map[string]*Text // of items that are not finished
+	whole   map[string]*Text // of items that are, for a later batch in which they come back
+	queue   []*task
+	left    map[string]int       // unfinished items by group
+	queued  chan struct{}        // the queue grew
+	streams map[*textStream]bool // on their way
 
 	toldWaits time.Time // when it was last logged that items wait
 }
@@ -35,6 +36,7 @@
 	item     *Item
 	tried    map[string]bool // replicas that failed it a short time ago
 	failures int             // answers that say that the item failed
+	moves    int             // times that it left a replica for being slow there
 }
 
 // start runs a batch with what is known of its unfinished texts.
@@ -42,7 +44,7 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	r := &run{
 		Manager: m, job: job, log: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
-		texts: texts, whole: map[string]*Text{}, left: map[string]int{}, queued: make(chan struct{}, 1),
+		texts: texts, whole: map[string]*Text{}, left: map[string]int{}, queued: make(chan struct{}, 1), streams: map[*textStream]bool{},
 	}
 	if r.texts == nil {
 		r.texts = map[string]*Text{}
@@ -65,6 +67,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { r.log.write(r.ctx, r.chunkListed) })
+	group.Go(r.review)
 	for _, t := range r.takeWhole() {
 		group.Go(func() { r.score(t) })
 	}
@@ -162,14 +165,11 @@
 
 // place takes a place for a task at a replica that may run it. The run's lock is held.
 func (r *run) place(t *task) *placement.Lease {
-	route, ok := r.routeOf(t.item)
+	request, ok := r.needs(t.item)
 	if !ok {
 		return nil
 	}
-	request := placement.Request{
-		Service: serviceOf(route, t.item.ID), Exclude: t.tried, Model: r.job.Model,
-		MinVersion: r.job.MinVersion, Affinity: t.item.Group, MustFit: true,
-	}
+	request.Exclude = t.tried
 	lease := r.tracker.Pick(request)
 	if lease == nil && len(t.tried) > 0 {
 		request.Exclude, t.tried = nil, nil
@@ -181,6 +181,18 @@
 	return lease
 }
 
+// needs are what a replica must be to run an item.
+func (r *run) needs(item *Item) (placement.Request, bool) {
+	route, ok := r.routeOf(item)
+	if !ok {
+		return placement.Request{}, false
+	}
+	return placement.Request{
+		Service: serviceOf(route, item.ID), Model: r.job.Model,
+		MinVersion: r.job.MinVersion, Affinity: item.Group, MustFit: true,
+	}, true
+}
+
 // again puts a task back to the front of the queue.
 func (r *run) again(t *task) {
 	r.mu.Lock()
--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"strings"
@@ -343,3 +344,31 @@
 		t.Errorf("%d runs of an ended batch after the restart", after-before)
 	}
 }
+
+// A replica that turned slow while others have places does not keep the step waiting.
+func TestTextsLeaveASlowReplica(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	for _, e := range s.engines {
+		e.SetFaults(fakereplica.Faults{Pause: 15 * time.Millisecond})
+	}
+	body, ids := submission(4, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body) // the usual pace is known after it
+	s.checkWhole(s.readAll(s.daemons[0], "lot-1"), ids)
+	s.daemons[0].call("DELETE", "/hornbeamtide/lots/lot-1", "", nil)
+	const slow = 1500 * time.Millisecond
+	s.engines[1].SetFaults(fakereplica.Faults{Pause: slow}) // where the first group's prompt leads
+	begin := time.Now()
+	again := bytes.ReplaceAll(body, []byte("item-"), []byte("later-"))
+	s.daemons[0].call("POST", itemPath+"x", "lot-2", again)
+	for i, id := range ids {
+		ids[i] = strings.Replace(id, "item-", "later-", 1)
+	}
+	s.checkWhole(s.readAll(s.daemons[0], "lot-2"), ids)
+	if took := time.Since(begin); took > textEvents*slow/2 {
+		t.Errorf("whole after %v; a text at the slow replica takes %v", took, textEvents*slow)
+	}
+	if s.engines[1].Total() == 0 {
+		t.Error("no text was at the slow replica")
+	}
+}
--- a/event/batch.go
+++ b/event/batch.go
@@ -21,6 +21,7 @@
 	BatchItemScored     = define(1516, logrus.InfoLevel, "item scored", "The scoring service answered; the item's result waits to be listed.")
 	BatchListed         = define(1517, logrus.InfoLevel, "results listed", "The chunk of results stands in the store; each of its items keeps its position. listed of total are done.")
 	BatchEnded          = define(1518, logrus.InfoLevel, "batch ended", "The trainer ended the batch; this daemon, which ran it, begins nothing more of it. listed of total results were there.")
+	BatchItemSlow       = define(1520, logrus.InfoLevel, "text straggles", "The replica takes much longer for an event than usual_ms, or queues the item; the text goes on at another one that has a place.")
 	BatchWaits          = define(1519, logrus.InfoLevel, "items wait for a place", "No replica may take the first item that waits; the counts tell which filter left none. Told once a second at most.")
 	BatchHostPassedOver = define(1512, logrus.InfoLevel, "host passed over", "The daemon that runs the trainer's steps did not take a batch; the one that was asked runs it.")
 )
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -192,13 +192,44 @@
 		r.suspect = t.now().Add(pause)
 		t.log.Log(event.PlacementSuspected, event.F("replica", l.ID), event.F("failures", r.failures), event.F("for_ms", pause.Milliseconds()))
 	}
-	if pace > 0 {
-		ms := float64(pace) / float64(time.Millisecond)
-		if r.pace == 0 {
-			r.pace = ms
+	r.observe(pace)
+}
+
+// Pace records the time that a unit of work takes while the request goes on.
+func (l *Lease) Pace(pace time.Duration) {
+	t := l.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.replicas[l.ID]; r != nil {
+		r.observe(pace)
+	}
+}
+
+// observe adds a pace to the replica's mean; 0 is none.
+func (r *replica) observe(pace time.Duration) {
+	if pace <= 0 {
+		return
+	}
+	ms := float64(pace) / float64(time.Millisecond)
+	if r.pace == 0 {
+		r.pace = ms
+	}
+	r.pace += speedWeight * (ms - r.pace)
+}
+
+// Usual returns the usual time of a unit of work at the replicas that may run a request, 0
+// if it is unknown, and whether one that is not slow has a place.
+func (t *Tracker) Usual(request Request) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.survey(request)
+	median := medianPace(t.candidates(request))
+	for _, c := range s.candidates {
+		if slowness(c, median) < slowReplica {
+			return time.Duration(median * float64(time.Millisecond)), true
 		}
-		r.pace += speedWeight * (ms - r.pace)
 	}
+	return 0, false
 }
 
 // Report records a replica's load while a request is still in progress there.
