batch: the longest texts of all needed groups begin first; waves: orders wait for no silent replica

A round of weight orders waited for every replica asked, and counted a load for 1.15 s that takes 0.9. Change: of the groups that the trainer needs, items begin by their own estimated length, not by that of their group. Orders run beside each other, nine of 44 at once, a silent replica is left alone for 0.5 s; of loads for the next step, those of the model with the fewest fresh replicas come first.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -94,7 +94,7 @@
 	switch {
 	case err == nil:
 		w.log.Log(event.BatchAccepted, event.F("batch", w.job.ID), event.F("step", w.job.Step),
-			event.F("items", len(w.job.Items)), event.F("version", created.Version))
+			event.F("items", len(w.job.Items)), event.F("needed_groups", w.job.GroupCount), event.F("version", created.Version))
 		w.begin()
 		return true, nil
 	case fault.Is(err, fault.Conflict):
--- a/batch/order.go
+++ b/batch/order.go
@@ -27,17 +27,26 @@
 	return groups
 }
 
-// orderGroups decides which groups begin first. Load pattern: a step whose samples do not
-// all fit at once, of which the trainer needs only some groups. The longest ones beyond
-// what it needs begin last, since they would take slots from groups that end a step;
-// of the needed ones the longest begin first, since they end last.
-func orderGroups(groups []*group, needed int) []*group {
+// orderItems decides which items begin first. Load pattern: a step whose samples do not all
+// fit at once, of which the trainer needs only some groups. The longest groups beyond what
+// it needs begin last, since they would take slots from groups that end a step. Of the
+// needed ones the longest items begin first, whichever group they are of: the step ends
+// with the longest text, and one that waits for a place ends that much later.
+func orderItems(groups []*group, needed int) []*Item {
 	ordered := append([]*group(nil), groups...)
 	if needed <= 0 || needed > len(ordered) {
 		needed = len(ordered)
 	}
 	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].length < ordered[b].length })
-	first := ordered[:needed]
-	sort.SliceStable(first, func(a, b int) bool { return first[a].length > first[b].length })
-	return ordered
+	first, rest := itemsOf(ordered[:needed]), itemsOf(ordered[needed:])
+	sort.SliceStable(first, func(a, b int) bool { return first[a].Length > first[b].Length })
+	return append(first, rest...)
+}
+
+func itemsOf(groups []*group) []*Item {
+	var items []*Item
+	for _, g := range groups {
+		items = append(items, g.items...)
+	}
+	return items
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -49,12 +49,10 @@
 	if r.texts == nil {
 		r.texts = map[string]*Text{}
 	}
-	for _, g := range orderGroups(groupsOf(job.Items), job.GroupCount) {
-		for _, item := range g.items {
-			if !log.has(item.ID) {
-				r.queue = append(r.queue, &task{item: item})
-				r.left[item.Group]++
-			}
+	for _, item := range orderItems(groupsOf(job.Items), job.GroupCount) {
+		if !log.has(item.ID) {
+			r.queue = append(r.queue, &task{item: item})
+			r.left[item.Group]++
 		}
 	}
 	go r.work()
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -33,6 +33,8 @@
 	askInterval = 120 * time.Millisecond
 	// busyPause is how long a replica is left alone whose load can wait.
 	busyPause = 600 * time.Millisecond
+	// silentPause is how long a replica is left alone that did not answer.
+	silentPause = 500 * time.Millisecond
 	// orderPatience is how long an order may show no effect before it is given again.
 	orderPatience = 2500 * time.Millisecond
 )
@@ -64,12 +66,14 @@
 	config Config
 	lease  *lease
 	wake   chan struct{}
+	calls  sync.WaitGroup // of replicas
 
 	mu       sync.Mutex
 	versions map[string]int64 // newest named version by model
 	orders   map[string]*progress
 	counts   map[string]map[string]int // replicas of each model, by service
 	waiting  map[string]time.Time      // replicas whose load can wait until then
+	silent   map[string]time.Time      // replicas that did not answer, left alone until then
 	behind   int                       // replicas that are behind
 	since    time.Time                 // of the last progress while replicas are behind
 	observed time.Time                 // when another holder's lease was read last; used by Run only
@@ -81,8 +85,13 @@
 	version int64
 	given   time.Time
 	asked   time.Time
+	asking  bool // a question about it is on its way; guarded by the manager's lock
+	slow    bool // the replica was still at it after loadTime; guarded by the manager's lock
 }
 
+// loads reports whether the replica probably loads now. The manager's lock is held.
+func (p *progress) loads() bool { return p.slow || time.Since(p.given) < loadTime }
+
 // NewManager returns a Manager.
 func NewManager(config Config, parts Parts) *Manager {
 	return &Manager{
@@ -91,7 +100,7 @@
 			store: parts.Store, log: parts.Log, self: config.Self, incarnation: config.Incarnation,
 			length: config.Lease, fenced: config.Fenced, clock: clock.BootTime,
 		},
-		versions: map[string]int64{}, orders: map[string]*progress{}, counts: map[string]map[string]int{}, waiting: map[string]time.Time{},
+		versions: map[string]int64{}, orders: map[string]*progress{}, counts: map[string]map[string]int{}, waiting: map[string]time.Time{}, silent: map[string]time.Time{},
 	}
 }
 
@@ -119,6 +128,7 @@
 		}
 		timer.Stop()
 	}
+	m.calls.Wait()
 	released, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderLimit)
 	defer cancel()
 	m.lease.release(released)
@@ -137,6 +147,7 @@
 
 	halfHasIt bool    // half of the model's replicas have the version or load it
 	usable    float64 // part of the model's replicas that may run its current step
+	fresh     float64 // part of the model's replicas that have the version or load it
 }
 
 // round looks once at what is behind and orders what it may. It returns the pause until
--- a/waves/orders.go
+++ b/waves/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
@@ -10,28 +9,28 @@
 	"github.com/hornbeamtide/hornbeamtide/measure"
 )
 
-// giveOrders follows the orders in progress and gives new ones while there is room.
+// giveOrders follows the orders in progress and gives new ones while there is room. It does
+// not wait for answers: a replica that is silent holds up no other one.
 func (m *Manager) giveOrders(ctx context.Context, todo []work) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	loading := map[string]int{}
-	var group sync.WaitGroup
-	defer group.Wait()
 	var next []work
 	for _, w := range todo {
-		m.mu.Lock()
 		p := m.orders[w.replica.ID]
-		waits := w.lag() <= 1 && w.halfHasIt && time.Now().Before(m.waiting[w.replica.ID])
-		m.mu.Unlock()
-		if waits && p == nil {
-			continue
-		}
-		if p == nil || p.version < w.version && time.Since(p.given) > orderPatience {
+		switch {
+		case p == nil && time.Now().Before(m.silent[w.replica.ID]):
+		case p == nil && w.lag() <= 1 && w.halfHasIt && time.Now().Before(m.waiting[w.replica.ID]):
+		case p == nil, p.version < w.version && time.Since(p.given) > orderPatience:
 			next = append(next, w)
-			continue
-		}
-		loading[w.replica.Service]++
-		if time.Since(p.given) > loadTime && time.Since(p.asked) > askInterval {
-			p.asked = time.Now()
-			group.Go(func() { m.follow(ctx, w, p) })
+		default:
+			if p.loads() {
+				loading[w.replica.Service]++
+			}
+			if time.Since(p.given) > loadTime && time.Since(p.asked) > askInterval && !p.asking {
+				p.asked, p.asking = time.Now(), true
+				m.calls.Go(func() { m.follow(ctx, w, p) })
+			}
 		}
 	}
 	for _, w := range next {
@@ -39,7 +38,13 @@
 			continue
 		}
 		loading[w.replica.Service]++
-		group.Go(func() { m.order(ctx, w) })
+		p := &progress{model: w.model, version: w.version, given: time.Now()}
+		m.orders[w.replica.ID] = p
+		m.calls.Go(func() {
+			if !m.order(ctx, w, p) {
+				m.drop(w.replica.ID)
+			}
+		})
 	}
 }
 
@@ -48,17 +53,23 @@
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	report, err := m.Engines.Report(ctx, w.replica)
+	m.mu.Lock()
+	p.asking, p.slow = false, err == nil && report.Busy
+	since := time.Since(p.given)
+	m.mu.Unlock()
 	if err != nil {
-		m.forgetAfter(w, p)
+		if since > orderPatience {
+			m.forget(w.replica.ID)
+		}
 		return
 	}
 	m.seen(w.replica, report)
 	if report.Versions[p.model] >= p.version {
-		m.Measures.Observe(measure.WeightLoad, time.Since(p.given), p.model)
+		m.Measures.Observe(measure.WeightLoad, since, p.model)
 		m.Log.Log(event.WaveLoaded, event.F("replica", w.replica.ID), event.F("model", p.model), event.F("version", p.version),
-			event.F("ms", time.Since(p.given).Milliseconds()))
+			event.F("ms", since.Milliseconds()))
 	}
-	if report.Versions[p.model] >= p.version || !report.Busy && time.Since(p.given) > orderPatience {
+	if report.Versions[p.model] >= p.version || !report.Busy && since > orderPatience {
 		m.forget(w.replica.ID)
 	}
 }
@@ -78,6 +89,20 @@
 	m.wakeUp()
 }
 
+// drop takes an order out that was not given; the next round looks at the replica again.
+func (m *Manager) drop(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.orders, id)
+}
+
+// avoid leaves a silent replica alone for a time.
+func (m *Manager) avoid(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent[id] = time.Now().Add(silentPause)
+}
+
 // putOff leaves a busy replica alone for a time.
 func (m *Manager) putOff(id string) {
 	m.mu.Lock()
@@ -93,35 +118,31 @@
 	}
 }
 
-func (m *Manager) forgetAfter(w work, p *progress) {
-	if time.Since(p.given) > orderPatience {
-		m.forget(w.replica.ID)
-	}
-}
-
-// order gives one order, if the replica is free and the lease holds right before it.
-func (m *Manager) order(ctx context.Context, w work) {
+// order gives one order, if the replica is free and the lease holds right before it. It
+// reports whether the order may be carried out.
+func (m *Manager) order(ctx context.Context, w work, p *progress) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*orderLimit)
 	defer cancel()
 	report, err := m.Engines.Report(ctx, w.replica)
 	if err != nil {
 		m.log(w, 0, "", err)
-		return
+		m.avoid(w.replica.ID)
+		return false
 	}
 	m.seen(w.replica, report)
 	if report.Busy || report.Versions[w.model] >= w.version {
-		return
+		return false
 	}
 	if mayWait(w.version-report.Versions[w.model], w.halfHasIt, report.Running, max(w.replica.Slots, 1)) {
 		m.putOff(w.replica.ID)
-		return
+		return false
 	}
 	token, held := m.lease.use()
 	if !held {
-		return
+		return false
 	}
 	m.mu.Lock()
-	m.orders[w.replica.ID] = &progress{model: w.model, version: w.version, given: time.Now()}
+	p.given = time.Now()
 	m.mu.Unlock()
 	reply, err := m.Engines.Order(ctx, w.replica, Order{
 		Model: w.model, Version: w.version, Strategy: m.strategy(w.replica.Service),
@@ -130,17 +151,16 @@
 	m.log(w, token, reply, err)
 	switch {
 	case err != nil: // it may have been accepted, or may be later
+		return true
 	case reply == Accepted:
 		m.Tracker.Hold(w.replica.ID, loadTime)
+		return true
 	case reply == Holds:
 		m.Tracker.SetVersion(w.replica.ID, w.model, w.version)
-		m.forget(w.replica.ID)
 	case reply == Fenced:
 		m.lease.lost()
-		m.forget(w.replica.ID)
-	default:
-		m.forget(w.replica.ID)
 	}
+	return false
 }
 
 func (m *Manager) log(w work, token int64, reply Reply, err error) {
--- a/waves/share.go
+++ b/waves/share.go
@@ -126,7 +126,8 @@
 }
 
 // urgency orders loads: replicas that are too old for the current step first, and of these
-// those of the model that has the smallest part of its replicas at work.
+// those of the model that has the smallest part of its replicas at work. The others get
+// ready for the next step, those of the model with the fewest that are ready first.
 func urgency(a, b work) bool {
 	oldA, oldB := a.lag() > 1, b.lag() > 1
 	switch {
@@ -136,10 +137,12 @@
 		return a.usable < b.usable
 	case a.lag() != b.lag():
 		return a.lag() > b.lag()
+	case a.fresh != b.fresh:
+		return a.fresh < b.fresh
 	}
 	return a.replica.ID < b.replica.ID
 }
 
 // atOnce is how many replicas of a service load at the same time: a few load quickly,
 // many slow each other down and leave too few at work.
-func atOnce(replicas int) int { return max(2, replicas/5) }
+func atOnce(replicas int) int { return max(2, (2*replicas+5)/10) }
--- a/waves/todo.go
+++ b/waves/todo.go
@@ -50,7 +50,7 @@
 		if r.Versions[model] < newest {
 			todo = append(todo, work{
 				replica: r, model: model, version: newest, limit: limit,
-				halfHasIt: has >= len(replicas)/2, usable: float64(usable) / float64(len(replicas)),
+				halfHasIt: has >= len(replicas)/2, usable: float64(usable) / float64(len(replicas)), fresh: float64(has) / float64(len(replicas)),
 			})
 		}
 	}
