--- a/edge/explain_test.go
+++ b/edge/explain_test.go
@@ -147,15 +147,21 @@
 func TestLateSampleIsExplainedByItsID(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 3, logged)
-	for _, engine := range s.engines {
-		engine.SetFaults(fakereplica.Faults{Pause: 150 * time.Millisecond})
-	}
-	s.engines[1].SetFaults(fakereplica.Faults{Full: true}) // the group's prompt leads there
 	body, ids := submission(1, 1)
 	// The batch is submitted to another daemon than its host, which an earlier one tells.
 	s.daemons[0].call("POST", itemPath+"x", "lot-0", bytes.ReplaceAll(body, []byte("item-"), []byte("probe-")))
 	host := s.runner("lot-0")
+	s.checkWhole(s.readAll(host, "lot-0"), []string{"probe-0-0", "probe-0-1"})
+	for _, engine := range s.engines {
+		engine.SetFaults(fakereplica.Faults{Full: true})
+	}
 	s.others(host)[0].call("POST", itemPath+"x", "lot-1", body)
+	s.eventually("a replica refuses the item", func() bool {
+		return strings.Contains(s.log.(*sharedLog).story(t, ids[0]), " 1503 ")
+	})
+	for _, engine := range s.engines {
+		engine.SetFaults(fakereplica.Faults{Pause: 150 * time.Millisecond})
+	}
 	s.eventually("the item runs", func() bool {
 		return s.engines[0].Runs(ids[0])+s.engines[1].Runs(ids[0])+s.engines[2].Runs(ids[0]) > 0
 	})
