standin soak: the real programs beside random faults, checked from outside

Cause: no soak of the platform path; faults came one at a time, in process. Change: standin/soak and the command. Clocks are not bent: the daemons use the wall clock only for the age of batches. A call given up by its caller was logged as refused by the rate limit, a caller that left as a broken stream.

--- a/cmd/hornbeamtide/edge.go
+++ b/cmd/hornbeamtide/edge.go
@@ -17,6 +17,9 @@
 
 // Execute implements flags.Commander.
 func (c *edgeCommand) Execute([]string) error {
+	aborted := make(chan struct{})
+	ctx, stop := untilStopped(func() { close(aborted) }) // before anything else: a stop may come at once
+	defer stop()
 	settings, err := edge.LoadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -25,8 +28,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilStopped(d.Abort)
-	defer stop()
+	go func() {
+		<-aborted
+		d.Abort()
+	}()
 	return d.Run(ctx)
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,9 @@
 			return true, nil
 		case err != nil:
 			lease.Done(a.broke(ctx, lease.ID), answer.Load, 0)
+			if errors.Is(ctx.Err(), context.Canceled) {
+				panic(http.ErrAbortHandler) // the caller left
+			}
 			a.log.Log(event.GatewayStreamBroke, event.F("request", a.request.ID), event.F("replica", lease.ID), event.F("cause", fmt.Sprint(err)))
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/cluster/edge.go
+++ b/standin/cluster/edge.go
@@ -15,6 +15,8 @@
 
 	Ready string // host:port
 	Peer  string // drpc host:port
+
+	launch func() (*Process, error)
 }
 
 // StartEdge starts an edge daemon on the store at address. seeds are peer addresses.
@@ -44,14 +46,26 @@
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		return nil, err
 	}
-	p, err := start(c.Dir, id, addresses[0], nil, c.daemonProgram, "edge", "--settings", path)
-	if err != nil {
-		return nil, err
+	e := &Edge{Ready: addresses[1], Peer: addresses[2], launch: func() (*Process, error) {
+		p, err := start(c.Dir, id, addresses[0], nil, c.daemonProgram, "edge", "--settings", path)
+		if err != nil {
+			return nil, err
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.processes = append(c.processes, p)
+		return p, nil
+	}}
+	return e, e.Restart()
+}
+
+// Restart starts the daemon, whose process has ended, at the same addresses.
+func (e *Edge) Restart() error {
+	p, err := e.launch()
+	if err == nil {
+		e.Process = p
 	}
-	c.mu.Lock()
-	c.processes = append(c.processes, p)
-	c.mu.Unlock()
-	return &Edge{Process: p, Ready: addresses[1], Peer: addresses[2]}, nil
+	return err
 }
 
 // WaitReady waits until the daemon takes connections.
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	addCommand(parser, "bench", "Measure ways of deciding", &benchCommand{})
 	addCommand(parser, "demo", "Run the whole path on loopback", &demoCommand{})
 	addCommand(parser, "edge-demo", "Run the path of the users' platform on loopback", &edgeDemoCommand{})
+	addCommand(parser, "soak", "Run the real programs beside random faults", &soakCommand{})
 	addCommand(parser, "slopes", "Measure what daemons cost at several fleet sizes", &slopesCommand{})
 	_, err := parser.Parse()
 	var failure *flags.Error
--- a/standin/fakeplatform/objects.go
+++ b/standin/fakeplatform/objects.go
@@ -75,6 +75,9 @@
 	return written.neutral()
 }
 
+// Remove deletes an object.
+func (s *Server) Remove(key string) { s.remove(key, func(int64) bool { return true }) }
+
 // Object returns the object at key and whether it exists.
 func (s *Server) Object(key string) (objectapi.Object, bool) {
 	s.mu.Lock()
--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -42,15 +42,16 @@
 
 	server *httptest.Server
 
-	mu       sync.Mutex
-	faults   Faults
-	version  int64
-	fence    int64
-	orders   int64
-	runs     map[string]int // by request ID
-	starts   map[string][]int64
-	running  int
-	received []string // holders of accepted orders
+	mu        sync.Mutex
+	announced string // address in the entry, if another than its own
+	faults    Faults
+	version   int64
+	fence     int64
+	orders    int64
+	runs      map[string]int // by request ID
+	starts    map[string][]int64
+	running   int
+	received  []string // holders of accepted orders
 }
 
 // Start runs a replica on a free port of the loopback.
@@ -73,12 +74,23 @@
 // Address returns host:port.
 func (r *Replica) Address() string { return r.server.Listener.Addr().String() }
 
+// Announce has the replica's entry name another address, as that of a proxy before it.
+func (r *Replica) Announce(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announced = address
+}
+
 // Entry is what the replica writes of itself into the store, in the given state.
 func (r *Replica) Entry(state string) json.RawMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	address := r.Address()
+	if r.announced != "" {
+		address = r.announced
+	}
 	entry := map[string]any{
-		"Backend": r.Service, "Address": r.Address(), "Zone": r.Domain, "Slots": 8, "State": state, "Seq": r.orders, "born": 1,
+		"Backend": r.Service, "Address": address, "Zone": r.Domain, "Slots": 8, "State": state, "Seq": r.orders, "born": 1,
 	}
 	if r.Model != "" {
 		entry["Models"] = []map[string]any{{"Name": r.Model, "Version": r.version}}
--- a/standin/silentproxy/proxy.go
+++ b/standin/silentproxy/proxy.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Proxy forwards connections to one target.
@@ -16,6 +17,7 @@
 
 	mu       sync.Mutex
 	silent   chan struct{} // closed: connections opened before carry nothing more
+	faults   Faults
 	open     map[net.Conn]bool
 	accepted int
 	closed   bool
@@ -78,6 +80,10 @@
 }
 
 func (p *Proxy) serve(near net.Conn) {
+	if p.currentFaults().Refuse {
+		reset(near)
+		return
+	}
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = near.Close()
@@ -88,8 +94,8 @@
 		return
 	}
 	var group sync.WaitGroup
-	group.Go(func() { forward(far, near, silent, new(atomic.Int64)) })
-	group.Go(func() { forward(near, far, silent, &p.received) })
+	group.Go(func() { forward(&gate{proxy: p, up: true, to: far, silent: silent, count: new(atomic.Int64)}, near) })
+	group.Go(func() { forward(&gate{proxy: p, to: near, silent: silent, count: &p.received}, far) })
 	group.Wait()
 }
 
@@ -108,17 +114,19 @@
 
 // forward copies until an end closes. Once silent is closed it reads on and drops
 // what it reads, and the close of one end no longer reaches the other.
-func forward(to, from net.Conn, silent <-chan struct{}, count *atomic.Int64) {
-	_, _ = io.Copy(&gate{to: to, silent: silent, count: count}, from)
+func forward(g *gate, from net.Conn) {
+	_, _ = io.Copy(g, from)
 	select {
-	case <-silent:
+	case <-g.silent:
 	default:
-		_ = to.Close()
+		_ = g.to.Close()
 	}
 }
 
 // gate writes to a connection until silent is closed.
 type gate struct {
+	proxy  *Proxy
+	up     bool // towards the target
 	to     net.Conn
 	silent <-chan struct{}
 	count  *atomic.Int64 // bytes written
@@ -130,7 +138,12 @@
 	case <-g.silent:
 		return len(b), nil
 	default:
-		g.count.Add(int64(len(b)))
-		return g.to.Write(b)
 	}
+	f := g.proxy.currentFaults()
+	if f.DropUp && g.up || f.DropDown && !g.up {
+		return len(b), nil
+	}
+	time.Sleep(f.Delay)
+	g.count.Add(int64(len(b)))
+	return g.to.Write(b)
 }
