--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -69,14 +69,18 @@
 		case 2:
 			c.routeCall(ctx, id, 1+rand.IntN(newest()))
 		default:
-			if got, _ := c.call(ctx, http.MethodPost, "/records/x", id, id); got.err == nil {
-				c.plain(id, id, got.status, got.body)
-			}
+			c.plainCall(ctx, id)
 		}
 		pause(ctx, callerPause)
 	}
 }
 
+func (c *client) plainCall(ctx context.Context, id string) {
+	if got, _ := c.call(ctx, http.MethodPost, "/records/x", id, id); got.err == nil {
+		c.plain(id, id, got.status, got.body)
+	}
+}
+
 func (c *client) strictCall(ctx context.Context, id string) {
 	c.mu.Lock()
 	c.strict[id] = true
