mirror: one kind only is tried while the store is lost

Ruled out: watches of collectors (about 25 a second), results (600). Change: while the last call of a daemon failed, only the first kind is tried; the others go on when it is answered.

--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -59,11 +59,20 @@
 )
 
 // watches reports whether this daemon watches a kind, and a channel that is closed when
-// that may have changed.
+// that may have changed. Load pattern: an outage of the store, in which every daemon of a
+// large fleet finds no news and looks for itself; calls that fail are priced too, so that
+// only one kind is tried until the store answers.
 func (m *Mirror) watches(kind Kind) (bool, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.watching == allKinds || m.watching == urgent && kind.Wait <= urgentWait, m.role
+	on := m.watching == allKinds || m.watching == urgent && kind.Wait <= urgentWait
+	return on && (m.lost.IsZero() || kind.Name == m.config.Kinds[0].Name), m.role
+}
+
+// roleChanged has the watches look at what they should do. The caller holds the lock.
+func (m *Mirror) roleChanged() {
+	close(m.role)
+	m.role = make(chan struct{})
 }
 
 // setWatching starts or stops watches.
@@ -78,8 +87,7 @@
 	if s == nothing {
 		m.lost = time.Time{} // what it hears from others counts now
 	}
-	close(m.role)
-	m.role = make(chan struct{})
+	m.roleChanged()
 }
 
 // follow lists the kind if nothing is known of it, then watches it until an error, or
@@ -156,6 +164,7 @@
 	if !m.lost.IsZero() {
 		m.log.Log(event.MirrorStoreRegained, event.F("after", time.Since(m.lost).Round(time.Millisecond).String()))
 		m.lost = time.Time{}
+		m.roleChanged()
 	}
 }
 
