--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -32,7 +32,9 @@
 			d := r.daemons[f.Target]
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			d.Signal(syscall.SIGHUP)
+			if listening(d.Ready) { // before it listens, no program has its handlers set
+				d.Signal(syscall.SIGHUP)
+			}
 			return
 		}
 		r.configure()
