--- a/batch/counts.go
+++ b/batch/counts.go
@@ -24,7 +24,7 @@
 		r.mu.Lock()
 		counts.Queue += len(r.queue)
 		r.mu.Unlock()
-		counts.Pending += r.log.pendingSize()
+		counts.Pending += r.results.pendingSize()
 	}
 	return counts
 }
--- a/batch/drain.go
+++ b/batch/drain.go
@@ -32,7 +32,7 @@
 	m.mu.Lock()
 	k.run = nil
 	m.mu.Unlock()
-	if r.log.size() >= len(r.job.Items) {
+	if r.results.size() >= len(r.job.Items) {
 		return
 	}
 	value, err := json.Marshal(texts)
--- a/batch/item.go
+++ b/batch/item.go
@@ -59,7 +59,7 @@
 	case errors.Is(err, errItemFailed):
 		r.finish(t.item, Result{ID: t.item.ID, State: Errored})
 	default:
-		r.Manager.log.Log(event.BatchItemMoved, event.F("batch", r.job.ID), event.F("item", t.item.ID),
+		r.log.Log(event.BatchItemMoved, event.F("batch", r.job.ID), event.F("item", t.item.ID),
 			event.F("replica", lease.ID), event.F("events", len(r.text(t.item.ID).Events)), event.Err(err))
 		if t.tried == nil {
 			t.tried = map[string]bool{}
--- a/batch/move.go
+++ b/batch/move.go
@@ -93,7 +93,7 @@
 	}
 	s.moved = true
 	s.task.moves++ // only the review reads it
-	r.Manager.log.Log(event.BatchItemSlow, event.F("batch", r.job.ID), event.F("item", s.task.item.ID), event.F("replica", s.lease.ID),
+	r.log.Log(event.BatchItemSlow, event.F("batch", r.job.ID), event.F("item", s.task.item.ID), event.F("replica", s.lease.ID),
 		event.F("events", s.pace.made), event.F("ms", time.Since(s.pace.sent).Milliseconds()), event.F("usual_ms", usual.Milliseconds()))
 	s.cancel()
 }
--- a/batch/observe.go
+++ b/batch/observe.go
@@ -23,7 +23,7 @@
 	queue := len(r.queue)
 	r.mu.Unlock()
 	r.measures.Observe(measure.ItemQueue, waited, r.job.Model)
-	r.Manager.log.Log(event.BatchItemPlaced, append(lease.Choice.Fields(),
+	r.log.Log(event.BatchItemPlaced, append(lease.Choice.Fields(),
 		event.F("batch", r.job.ID), event.F("item", t.item.ID), event.F("replica", lease.ID), event.F("after", after),
 		event.F("has_version", lease.Versions[r.job.Model]), event.F("min_version", r.job.MinVersion),
 		event.F("waited_ms", waited.Milliseconds()), event.F("queue", queue))...)
@@ -37,7 +37,7 @@
 	}
 	r.measures.Observe(measure.ItemText, time.Since(begun), r.job.Model, outcome)
 	if err == nil {
-		r.Manager.log.Log(event.BatchItemText, event.F("batch", r.job.ID), event.F("item", t.item.ID), event.F("replica", lease.ID),
+		r.log.Log(event.BatchItemText, event.F("batch", r.job.ID), event.F("item", t.item.ID), event.F("replica", lease.ID),
 			event.F("events", len(text.Events)), event.F("versions", text.Versions), event.F("ms", time.Since(begun).Milliseconds()))
 	}
 }
@@ -50,7 +50,7 @@
 	}
 	r.measures.Observe(measure.ItemScore, time.Since(begun), r.job.Model, outcome)
 	if scored {
-		r.Manager.log.Log(event.BatchItemScored, event.F("batch", r.job.ID), event.F("item", t.item.ID), event.F("request", t.item.Scorer.ID),
+		r.log.Log(event.BatchItemScored, event.F("batch", r.job.ID), event.F("item", t.item.ID), event.F("request", t.item.Scorer.ID),
 			event.F("replica", server), event.F("failures", failures), event.F("ms", time.Since(begun).Milliseconds()))
 	}
 }
@@ -60,7 +60,7 @@
 	if r.ctx.Err() != nil {
 		return // the batch ended
 	}
-	r.Manager.log.Log(event.BatchScoreFailed, append(lease.Choice.Fields(),
+	r.log.Log(event.BatchScoreFailed, append(lease.Choice.Fields(),
 		event.F("batch", r.job.ID), event.F("request", s.ID), event.F("replica", lease.ID), event.Err(err))...)
 }
 
@@ -73,7 +73,7 @@
 		return
 	}
 	r.toldWaits = time.Now()
-	r.Manager.log.Log(event.BatchWaits, append(r.tracker.Survey(request).Counts(),
+	r.log.Log(event.BatchWaits, append(r.tracker.Survey(request).Counts(),
 		event.F("batch", r.job.ID), event.F("item", t.item.ID), event.F("service", request.Service),
 		event.F("min_version", request.MinVersion), event.F("queue", len(r.queue)),
 		event.F("since_ms", time.Since(r.job.Accepted).Milliseconds()))...)
@@ -89,7 +89,7 @@
 	if listed >= len(r.job.Items) {
 		r.measures.Observe(measure.BatchWhole, time.Since(r.job.Accepted), r.job.Model)
 	}
-	r.Manager.log.Log(event.BatchListed, event.F("batch", r.job.ID), event.F("chunk", key), event.F("items", items),
+	r.log.Log(event.BatchListed, event.F("batch", r.job.ID), event.F("chunk", key), event.F("items", items),
 		event.F("listed", listed), event.F("total", len(r.job.Items)), event.F("write_ms", took.Milliseconds()),
 		event.F("since_ms", time.Since(r.job.Accepted).Milliseconds()))
 }
--- a/batch/read.go
+++ b/batch/read.go
@@ -61,13 +61,13 @@
 	if r == nil {
 		return Page{}, false, nil
 	}
-	sure := r.ctx.Err() == nil && !m.mayRunElsewhere() && !r.log.isContested()
+	sure := r.ctx.Err() == nil && !m.mayRunElsewhere() && !r.results.isContested()
 	if sure {
-		r.log.await(ctx, after, total, wait, r.ctx.Done())
+		r.results.await(ctx, after, total, wait, r.ctx.Done())
 		sure = r.ctx.Err() == nil
 	}
 	if sure {
-		results, _ := r.log.page(after)
+		results, _ := r.results.page(after)
 		return Page{Total: total, Results: results}, true, nil
 	}
 	page, err = m.storedPage(ctx, k, after)
--- a/batch/run.go
+++ b/batch/run.go
@@ -14,11 +14,11 @@
 type run struct {
 	*Manager
 
-	job    Job
-	log    *resultLog
-	ctx    context.Context // ends with the batch or the daemon
-	cancel context.CancelFunc
-	done   chan struct{} // closed when all of the run's goroutines ended
+	job     Job
+	results *resultLog      // the log of the batch
+	ctx     context.Context // ends with the batch or the daemon
+	cancel  context.CancelFunc
+	done    chan struct{} // closed when all of the run's goroutines ended
 
 	mu      sync.Mutex
 	texts   map[string]*Text // of items that are not finished
@@ -43,7 +43,7 @@
 func (m *Manager) start(job Job, log *resultLog, texts map[string]*Text) *run {
 	ctx, cancel := context.WithCancel(m.ctx)
 	r := &run{
-		Manager: m, job: job, log: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		Manager: m, job: job, results: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		texts: texts, whole: map[string]*Text{}, left: map[string]int{}, queued: make(chan struct{}, 1), streams: map[*textStream]bool{},
 	}
 	if r.texts == nil {
@@ -64,7 +64,7 @@
 	defer close(r.done)
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { r.log.write(r.ctx, r.chunkListed) })
+	group.Go(func() { r.results.write(r.ctx, r.chunkListed) })
 	group.Go(r.review)
 	for _, t := range r.takeWhole() {
 		group.Go(func() { r.score(t) })
@@ -232,9 +232,9 @@
 		r.measures.Observe(measure.GroupWhole, time.Since(r.job.Accepted), r.job.Model)
 	}
 	if result.State == Errored {
-		r.Manager.log.Log(event.BatchItemErrored, event.F("batch", r.job.ID), event.F("item", item.ID))
+		r.log.Log(event.BatchItemErrored, event.F("batch", r.job.ID), event.F("item", item.ID))
 	}
-	r.log.add(result, whole)
+	r.results.add(result, whole)
 }
 
 // stop ends the run and waits for its goroutines. It returns the unfinished texts.
