A request or batch that may have run is never refused as not run

The last error's outcome was taken over into the final one. Of the same class, found by looking for it: a batch whose write lost its answer and whose next try was refused, and one whose host did not answer while the own writes were refused, got 503 too. Ruled out: the retry itself (streams may be repeated). Change: such errors carry outcome unknown. The lines of a test that counts left-out entries are summed: it failed once under the race detector, when the rate let a line through in between.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -23,17 +23,24 @@
 	if m.knows(job.ID) {
 		return nil
 	}
-	if host := m.hostOf(job); host != m.self && m.hostElsewhere(ctx, host, job) {
-		return nil
+	unsettled := false
+	if host := m.hostOf(job); host != m.self {
+		err := m.hostElsewhere(ctx, host, job)
+		if err == nil {
+			return nil
+		}
+		// A host that did not answer may have stored the batch or may do so later: the
+		// write below finds it, but if that fails too nothing is promised.
+		unsettled = fault.OutcomeOf(err) != fault.NotRun
 	}
-	// A host that did not answer may have stored the batch: the write below finds it.
-	return m.acceptHere(ctx, job)
+	return m.acceptHere(ctx, job, unsettled)
 }
 
-// acceptHere stores a batch that this daemon will run.
-func (m *Manager) acceptHere(ctx context.Context, job Job) error {
+// acceptHere stores a batch that this daemon will run. unsettled says that another daemon
+// may have stored it.
+func (m *Manager) acceptHere(ctx context.Context, job Job, unsettled bool) error {
 	job.Owner, job.Accepted = m.self, time.Now()
-	w := &acceptance{Manager: m, job: job}
+	w := &acceptance{Manager: m, job: job, unsettled: unsettled}
 	return w.run(ctx)
 }
 
@@ -72,7 +79,8 @@
 		clock.Sleep(ctx, storePause<<min(try, maxBackoff))
 	}
 	if w.unsettled {
-		return fault.Wrap(last, fault.Ambiguous, "the batch may have been accepted", "submit it again with the same id")
+		return fault.Wrap(last, fault.Ambiguous, "the batch may have been accepted", "submit it again with the same id",
+			fault.WithOutcome(fault.Unknown)) // whatever the last try met
 	}
 	return fault.Wrap(last, fault.Unavailable, "the batch could not be stored", "submit it again",
 		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
--- a/batch/host.go
+++ b/batch/host.go
@@ -8,6 +8,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
 const (
@@ -43,32 +44,33 @@
 	return best
 }
 
-// hostElsewhere has another daemon store and run the batch.
-func (m *Manager) hostElsewhere(ctx context.Context, host string, job Job) bool {
+// hostElsewhere has another daemon store and run the batch. After an error with outcome
+// fault.NotRun it did not and never will.
+func (m *Manager) hostElsewhere(ctx context.Context, host string, job Job) error {
 	value, err := json.Marshal(job)
 	if err != nil {
-		return false
+		return fault.Wrap(err, fault.Internal, "the batch can't be passed on", "report this defect", fault.WithOutcome(fault.NotRun))
 	}
 	ctx, cancel := context.WithTimeout(ctx, hostLimit)
 	defer cancel()
-	conn, err := m.conns.Conn(ctx, m.members()[host])
-	if err == nil {
+	members := m.members() // not under the lock: the mirror calls this manager under its own
+	conn, err := m.conns.Conn(ctx, members[host])
+	if err != nil {
+		err = fault.Wrap(err, fault.Unavailable, "host "+host+" can't be reached", "run the batch here", fault.WithOutcome(fault.NotRun))
+	} else {
 		_, err = batchpb.NewDRPCBatchClient(conn).Host(ctx, &batchpb.JobRequest{Id: job.ID, Json: value})
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if err != nil {
-		m.mu.Lock()
 		pause := min(max(shunTime, 2*m.shunned[host].pause), maxShunTime)
 		m.shunned[host] = shunning{until: time.Now().Add(pause), pause: pause}
-		m.mu.Unlock()
 		m.log.Log(event.BatchHostPassedOver, event.F("batch", job.ID), event.F("host", host), event.Err(err))
+		return err
 	}
-	if err == nil {
-		m.mu.Lock()
-		delete(m.shunned, host)
-		m.mu.Unlock()
-		m.log.Log(event.BatchForwarded, event.F("batch", job.ID), event.F("host", host), event.F("members", len(m.members())))
-	}
-	return err == nil
+	delete(m.shunned, host)
+	m.log.Log(event.BatchForwarded, event.F("batch", job.ID), event.F("host", host), event.F("members", len(members)))
+	return nil
 }
 
 // shunning is the time for which a daemon hosts nothing.
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -206,7 +206,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return fault.Wrap(err, fault.Ambiguous, "the end of the batch is not settled", "end it again")
+			return fault.Wrap(err, fault.Ambiguous, "the end of the batch is not settled", "end it again", fault.WithOutcome(fault.Unknown))
 		}
 		clock.Sleep(ctx, storePause<<min(try, maxBackoff))
 	}
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -28,7 +28,7 @@
 	if s.m.isDraining() {
 		return nil, fault.New(fault.Draining, "this daemon stops", "host the batch yourself", fault.WithOutcome(fault.NotRun))
 	}
-	return &batchpb.Reply{}, s.m.acceptHere(ctx, job)
+	return &batchpb.Reply{}, s.m.acceptHere(ctx, job, false)
 }
 
 // Cancel implements batchpb.DRPCBatchServer.
--- a/event/async_test.go
+++ b/event/async_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -105,7 +107,12 @@
 	}
 	time.Sleep(2 * time.Second / lineRate)
 	logger.Log(often)
-	if !strings.Contains(out.String(), fmt.Sprint("skipped=", lines-written)) {
-		t.Error("the next line does not tell what was left out")
+	var told int64
+	for _, found := range regexp.MustCompile(`skipped=(\d+)`).FindAllStringSubmatch(out.String(), -1) {
+		n, _ := strconv.ParseInt(found[1], 10, 64) // digits only
+		told += n
+	}
+	if told != logger.Skipped() {
+		t.Errorf("the lines tell of %d left out, %d were", told, logger.Skipped())
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,7 +173,8 @@
 // giveUp returns the final error: not run only if that is certain.
 func (a *attempt) giveUp() error {
 	if a.mayRan {
-		return fault.Wrap(orUnknown(a.last), fault.Ambiguous, "the request may have run and got no whole answer", "look at its effect before sending it again")
+		return fault.Wrap(orUnknown(a.last), fault.Ambiguous, "the request may have run and got no whole answer",
+			"look at its effect before sending it again", fault.WithOutcome(fault.Unknown)) // whatever the last replica said
 	}
 	if a.last == nil {
 		return fault.New(fault.Unavailable, "no replica can take the request", "send it again later",
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -78,3 +78,52 @@
 		t.Errorf("%d of 3 replicas are trusted", got)
 	}
 }
+
+// answers is a backend whose nth call is answered by the nth function.
+type answers []func() (*upstream.Answer, error)
+
+// Send implements upstream.Backend.
+func (a *answers) Send(context.Context, upstream.Call) (*upstream.Answer, error) {
+	next := (*a)[0]
+	*a = (*a)[1:]
+	return next()
+}
+
+// Events implements upstream.Backend.
+func (*answers) Events(*upstream.Answer) upstream.Events { return nil }
+
+// Soak seed 306: a replica ran the request and did not sign its answer, the next one was
+// full; the caller was told that nothing ran.
+func TestRefusalAfterAnAttemptThatRanIsNoPromise(t *testing.T) {
+	empty := func(change func(a *upstream.Answer)) func() (*upstream.Answer, error) {
+		return func() (*upstream.Answer, error) {
+			a := &upstream.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+			change(a)
+			return a, nil
+		}
+	}
+	unsigned := empty(func(*upstream.Answer) {})
+	full := empty(func(a *upstream.Answer) { a.Status, a.NotRun = http.StatusServiceUnavailable, true })
+	unsent := func() (*upstream.Answer, error) {
+		return nil, fault.New(fault.Unavailable, "no connection", "", fault.WithOutcome(fault.NotRun))
+	}
+	table := []struct {
+		name  string
+		calls answers
+		want  bool // nothing ran
+	}{
+		{"ran, then full", answers{unsigned, full, full}, false},
+		{"ran, then no connection", answers{unsigned, unsent, unsent}, false},
+		{"full, then ran", answers{full, unsigned, full}, false},
+		{"all full", answers{full, full, full}, true},
+		{"no connections", answers{unsent, unsent, unsent}, true},
+	}
+	for _, row := range table {
+		route := testRoute("records")
+		route.Timeout = time.Second
+		err := New(&row.calls, testTracker(3), nil, nil).Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: "r"})
+		if got := fault.OutcomeOf(err) == fault.NotRun; got != row.want {
+			t.Errorf("%s: not run %v, error %v", row.name, got, err)
+		}
+	}
+}
