soak: replicas write the version they run into their entries; a constant that nothing used is gone

Read again as a newcomer: the stand-ins left out what the published protocol says of entries, which starves daemons that give no orders.

--- a/batch/observe.go
+++ b/batch/observe.go
@@ -12,7 +12,6 @@
 const (
 	measuredWhole  = "whole"
 	measuredFailed = "failed"
-	measuredNotRun = "not_run"
 )
 
 // logPlaced tells where an item goes and from which choice. after is the last event that is
--- a/standin/soak/world.go
+++ b/standin/soak/world.go
@@ -42,8 +42,9 @@
 type server struct {
 	*fakereplica.Replica
 
-	link *silentproxy.Proxy
-	gone bool
+	link    *silentproxy.Proxy
+	gone    bool
+	written int64 // version in its entry
 }
 
 // world is the store, the replicas and the daemons of a run.
@@ -136,9 +137,23 @@
 	return nil
 }
 
+// writeEntries has replicas write into their entries which version they run, as the
+// published protocol says; daemons that give no orders know it from there.
+func (w *world) writeEntries() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		if version := s.Version(); !s.gone && version != s.written {
+			s.written = version
+			w.store.PutSpec("servers/"+s.ID, s.Entry("ready"))
+		}
+	}
+}
+
 // rewriteMembers has daemons find each other at their proxies, whatever they announce.
 func (w *world) rewriteMembers(stop <-chan struct{}) {
 	for {
+		w.writeEntries()
 		for _, o := range w.store.Objects("members/") {
 			var m platform.Member
 			if json.Unmarshal(o.Value, &m) != nil {
