soak: a link releases the files of silent connections, daemons are asked side by side

The soak's process holds store, links, replicas and callers; it had 15,489 of 20,000 files open 20 s into such a run, and a link ended for good at the first connection that it could not take. Silent connections were never closed by the link, even when both ends had closed them, and daemons were asked one after another within one deadline. Ruled out: the daemons' lease, wave orders and configuration (in force everywhere within 0.5 s); processor time of the soak (19% of a core). Not shown: that the limit of files was hit in the failed runs themselves, since nothing counted it. Change: links close both ends, go on after a connection that they can't take, and count those; a failed run that had any says so instead of naming a promise only; daemons are asked side by side.

--- a/standin/silentproxy/proxy.go
+++ b/standin/silentproxy/proxy.go
@@ -3,10 +3,12 @@
 package silentproxy
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +23,7 @@
 	open     map[net.Conn]bool
 	accepted int
 	closed   bool
+	missed   int
 
 	received atomic.Int64 // bytes from the target
 }
@@ -69,13 +72,39 @@
 	}
 }
 
+// acceptPause is the wait after a connection that could not be taken.
+const acceptPause = 10 * time.Millisecond
+
+// Missed returns how many connections the proxy itself could not take or open, as when its
+// process may open no more files.
+func (p *Proxy) Missed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.missed
+}
+
+// miss counts a connection that failed by the proxy's own limits; it returns false once the
+// proxy is closed.
+func (p *Proxy) miss() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.missed++
+	}
+	return !p.closed
+}
+
 func (p *Proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
-		if err != nil {
+		if err == nil {
+			go p.serve(conn)
+			continue
+		}
+		if !p.miss() {
 			return
 		}
-		go p.serve(conn)
+		time.Sleep(acceptPause)
 	}
 }
 
@@ -86,6 +115,9 @@
 	}
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
+		if errors.Is(err, syscall.EMFILE) {
+			p.miss()
+		}
 		_ = near.Close()
 		return
 	}
@@ -97,6 +129,10 @@
 	group.Go(func() { forward(&gate{proxy: p, up: true, to: far, silent: silent, count: new(atomic.Int64)}, near) })
 	group.Go(func() { forward(&gate{proxy: p, to: near, silent: silent, count: &p.received}, far) })
 	group.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, near)
+	delete(p.open, far)
 }
 
 func (p *Proxy) track(conns ...net.Conn) (<-chan struct{}, bool) {
@@ -116,6 +152,7 @@
 // what it reads, and the close of one end no longer reaches the other.
 func forward(g *gate, from net.Conn) {
 	_, _ = io.Copy(g, from)
+	_ = from.Close()
 	select {
 	case <-g.silent:
 	default:
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -68,6 +68,9 @@
 	if broken := r.judge.verdict(); broken != "" {
 		err = fmt.Errorf("broken promise: %s", broken)
 	}
+	if missed := w.missed(); missed > 0 && err != nil {
+		err = fmt.Errorf("no verdict: the soak itself could not open %d connections (see ulimit -n); %w", missed, err)
+	}
 	w.end(err != nil)
 	if err != nil {
 		return Summary{}, fmt.Errorf("seed %d: %w; plan and logs are in %s", o.Seed, err, r.keep(plan))
@@ -173,22 +176,12 @@
 	version := r.configure()
 	steps := r.judge.steps()
 	deadline := time.Now().Add(settle)
+	var asked sync.WaitGroup
 	for i, d := range r.daemons {
-		c := newClient(r.judge, func() (string, string) { return d.callers.Address(), d.process() })
-		for n := 0; ; n++ {
-			id := fmt.Sprintf("back-%d-%d", i, n)
-			got, _ := c.call(ctx, "POST", extra(version)+"x", id, id)
-			if got.err == nil && got.status == 200 {
-				break
-			}
-			if time.Now().After(deadline) {
-				r.judge.breaks("daemon %s does not serve configuration %d %v after the last fault: status %d, %v", d.name, version, settle, got.status, got.err)
-				return
-			}
-			pause(ctx, pollPause)
-		}
+		asked.Go(func() { r.serves(ctx, d, i, version, deadline) })
 	}
-	for r.judge.steps() < steps+2 {
+	asked.Wait()
+	for r.judge.verdict() == "" && r.judge.steps() < steps+2 {
 		if time.Now().After(deadline.Add(settle)) {
 			r.judge.breaks("%d steps became whole within %v after the last fault", r.judge.steps()-steps, 2*settle)
 			return
@@ -196,3 +189,20 @@
 		pause(ctx, pollPause)
 	}
 }
+
+// serves checks that a daemon serves a configuration before a deadline.
+func (r *run) serves(ctx context.Context, d *daemon, i, version int, deadline time.Time) {
+	c := newClient(r.judge, func() (string, string) { return d.callers.Address(), d.process() })
+	for n := 0; ; n++ {
+		id := fmt.Sprintf("back-%d-%d", i, n)
+		got, _ := c.call(ctx, "POST", extra(version)+"x", id, id)
+		if got.err == nil && got.status == 200 {
+			return
+		}
+		if time.Now().After(deadline) {
+			r.judge.breaks("daemon %s does not serve configuration %d %v after the last fault: status %d, %v", d.name, version, settle, got.status, got.err)
+			return
+		}
+		pause(ctx, pollPause)
+	}
+}
--- a/standin/soak/world.go
+++ b/standin/soak/world.go
@@ -231,9 +231,25 @@
 	for _, f := range w.close {
 		f()
 	}
+	for _, p := range w.daemonLinks() {
+		p.Close()
+	}
+}
+
+// daemonLinks are the links to and from the daemons.
+func (w *world) daemonLinks() []*silentproxy.Proxy {
+	var all []*silentproxy.Proxy
 	for _, d := range w.daemons {
-		for _, p := range []*silentproxy.Proxy{d.callers, d.store, d.peers} {
-			p.Close()
-		}
+		all = append(all, d.callers, d.store, d.peers)
+	}
+	return all
+}
+
+// missed is how many connections the links could not carry for want of files.
+func (w *world) missed() int {
+	total := 0
+	for _, p := range w.daemonLinks() {
+		total += p.Missed()
 	}
+	return total
 }
