batch: growing texts are saved in the store, takers-over go on with them

Ruled out: copies on a second daemon (power_off_all takes all of them); results of single items in the log earlier (they are listed within 1.5 s already); a text a write (calls are priced). A take-over reads it with the results in the same call; it goes with the results when the batch expires.

--- a/batch/item.go
+++ b/batch/item.go
@@ -80,15 +80,15 @@
 	defer cancel()
 	silence := time.AfterFunc(firstEventLimit, cancel)
 	defer silence.Stop()
-	text := r.text(t.item.ID)
 	begun := time.Now()
-	s := &textStream{task: t, lease: lease, cancel: cancel, pace: paceRecord{sent: begun}}
+	s := &textStream{task: t, lease: lease, cancel: cancel, text: r.text(t.item.ID), pace: paceRecord{sent: begun}}
+	before := len(s.text.Events)
 	defer r.begin(s)()
-	r.logPlaced(t, lease, len(text.Events))
+	r.logPlaced(t, lease, before)
 	answer, err := r.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: t.item.ID, Method: http.MethodPost, Target: t.item.Path,
 		Host: r.job.Host, Header: t.item.Header, Body: t.item.Body,
-		ResumeAfter: int64(len(text.Events)), MayRepeat: true,
+		ResumeAfter: int64(before), MayRepeat: true,
 	})
 	if err != nil {
 		return r.streamFailed(s, err, 0)
@@ -102,11 +102,11 @@
 		lease.Done(outcomeOf(answer), answer.Load, 0)
 		return err
 	}
-	started, before := time.Now(), len(text.Events)
-	err = r.readEvents(s, answer, &text, silence)
-	r.keepText(t.item.ID, text)
-	r.textEnded(t, lease, &text, begun, err)
-	made := len(text.Events) - before
+	started := time.Now()
+	err = r.readEvents(s, answer, silence)
+	r.keepText(t.item.ID, s.text)
+	r.textEnded(t, lease, &s.text, begun, err)
+	made := len(s.text.Events) - before
 	var pace time.Duration
 	if made > 1 {
 		pace = time.Since(started) / time.Duration(made)
@@ -177,7 +177,8 @@
 }
 
 // readEvents appends a replica's events to the text until its end.
-func (r *run) readEvents(s *textStream, answer *upstream.Answer, text *Text, silence *time.Timer) error {
+func (r *run) readEvents(s *textStream, answer *upstream.Answer, silence *time.Timer) error {
+	text := &s.text
 	first := int64(len(text.Events)) + 1
 	single := false
 	if route, ok := r.routeOf(s.task.item); ok {
@@ -190,7 +191,7 @@
 			if len(text.Events) == 0 {
 				return fault.New(fault.Truncated, "the replica sent no event", "try another replica")
 			}
-			text.Whole = true
+			s.end()
 			return nil
 		}
 		if err != nil {
@@ -203,13 +204,12 @@
 			return errTooOld
 		}
 		if single && len(text.Versions) > 0 && text.Versions[0] != e.Version {
-			*text = Text{} // one version only: begin anew
+			s.restart() // one version only: begin anew
 			return fault.New(fault.Stale, "the weights changed within a text of one version", "begin it anew")
 		}
-		if text.add(e.Data, e.Version); e.ID == first {
+		if s.add(e.Data, e.Version); e.ID == first {
 			r.measures.Observe(measure.ItemFirst, time.Since(s.pace.sent), r.job.Model)
 		}
-		s.add()
 		silence.Reset(eventLimit)
 	}
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -139,6 +139,7 @@
 func endKey(id string) string          { return KindEnds + "/" + id }
 func partKey(id string, n int) string  { return fmt.Sprintf("parts-%s/%06d", id, n) }
 func resultsKind(id string) string     { return "results-" + id }
+func textsKey(id string) string        { return resultsKind(id) + "/texts" }
 func chunkKey(id string, n int) string { return fmt.Sprintf("%s/%06d", resultsKind(id), n) }
 func decodeJob(value []byte) (Job, error) {
 	var j Job
--- a/batch/log.go
+++ b/batch/log.go
@@ -53,16 +53,29 @@
 
 // load reads what the store has of the log beyond what is known.
 func (l *resultLog) load(ctx context.Context) error {
+	_, err := l.loadWithTexts(ctx)
+	return err
+}
+
+// loadWithTexts is load; it also returns the texts that were saved while they grew, of items
+// that have no result.
+func (l *resultLog) loadWithTexts(ctx context.Context) (map[string]*Text, error) {
 	snapshot, err := l.store.List(ctx, resultsKind(l.id)+"/")
 	if err != nil {
-		return err
+		return nil, err
 	}
+	var saved []byte
 	for _, o := range snapshot.Objects {
-		if err := l.confirmObject(o); err != nil {
-			return err
+		if o.Key == textsKey(l.id) {
+			saved = o.Value
+		} else if err := l.confirmObject(o); err != nil {
+			return nil, err
 		}
 	}
-	return nil
+	if saved == nil {
+		return nil, nil
+	}
+	return decodeTexts(saved, l.has), nil
 }
 
 // confirmObject takes over the next chunk as it stands in the store; earlier ones are known.
--- a/batch/move.go
+++ b/batch/move.go
@@ -23,19 +23,43 @@
 	cancel context.CancelFunc
 
 	mu    sync.Mutex
+	text  Text // as far as it has come; only the stream's own task changes it
 	pace  paceRecord
 	moved bool // it was broken off because it straggles
 }
 
-func (s *textStream) add() {
+// add appends an event.
+func (s *textStream) add(data string, version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.text.add(data, version)
 	s.pace.add(time.Now())
 	if s.pace.made%paceEvents == 0 {
 		s.lease.Pace(s.pace.times[len(s.pace.times)-1].Sub(s.pace.times[0]) / time.Duration(len(s.pace.times)-1))
 	}
 }
 
+// end notes that the text is whole.
+func (s *textStream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.text.Whole = true
+}
+
+// restart drops what was made.
+func (s *textStream) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.text = Text{}
+}
+
+// snapshot returns a copy of the text so far.
+func (s *textStream) snapshot() Text {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.text.copy()
+}
+
 func (s *textStream) wasMoved() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/batch/run.go
+++ b/batch/run.go
@@ -37,6 +37,7 @@
 	tried    map[string]bool // replicas that failed it a short time ago
 	failures int             // answers that say that the item failed
 	moves    int             // times that it left a replica for being slow there
+	begun    time.Time       // when it was placed first
 }
 
 // start runs a batch with what is known of its unfinished texts.
@@ -66,6 +67,7 @@
 	defer group.Wait()
 	group.Go(func() { r.results.write(r.ctx, r.chunkListed) })
 	group.Go(r.review)
+	group.Go(r.saveTexts)
 	for _, t := range r.takeWhole() {
 		group.Go(func() { r.score(t) })
 	}
@@ -148,6 +150,9 @@
 		lease := r.place(t)
 		if lease != nil {
 			r.queue = append(r.queue[:i:i], r.queue[i+1:]...)
+			if t.begun.IsZero() {
+				t.begun = time.Now()
+			}
 			return t, lease
 		}
 		if i >= lookAhead {
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -165,7 +165,8 @@
 	return err == nil && answer.Running
 }
 
-// takeOver runs a batch from where its log stands. texts are of its unfinished items.
+// takeOver runs a batch from where its log stands. texts are of its unfinished items, nil
+// when the daemon that ran it did not hand them over: then those that it saved are used.
 func (m *Manager) takeOver(ctx context.Context, k *known, texts map[string]*Text) {
 	m.mu.Lock()
 	if k.run != nil || k.starting || k.ended || m.draining {
@@ -177,7 +178,10 @@
 	m.mu.Unlock()
 	items, err := m.items(ctx, job)
 	if err == nil {
-		err = log.load(ctx)
+		var saved map[string]*Text
+		if saved, err = log.loadWithTexts(ctx); texts == nil {
+			texts = saved
+		}
 	}
 	ended := false
 	if err == nil {
--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -345,6 +345,32 @@
 	}
 }
 
+// All daemons are lost at once while texts are long on their way: the next ones go on with
+// what the store has of them.
+func TestGrowingTextsOutliveAllDaemons(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	for _, e := range s.engines {
+		e.SetFaults(fakereplica.Faults{Pause: 600 * time.Millisecond})
+	}
+	body, ids := submission(1, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	s.eventually("growing texts are in the store", func() bool { return len(s.store.Objects("results-lot-1/")) > 0 })
+	s.daemons[0].kill()
+	<-s.daemons[0].done
+	again := s.start("d1")
+	s.checkWhole(s.readAll(again, "lot-1"), ids)
+	for _, id := range ids {
+		var starts []int64
+		for _, e := range s.engines {
+			starts = append(starts, e.Starts(id)...)
+		}
+		if slices.Max(starts) == 0 {
+			t.Errorf("item %s began anew", id)
+		}
+	}
+}
+
 // A replica that turned slow while others have places does not keep the step waiting.
 func TestTextsLeaveASlowReplica(t *testing.T) {
 	t.Parallel()
--- a/event/batch.go
+++ b/event/batch.go
@@ -23,5 +23,7 @@
 	BatchEnded          = define(1518, logrus.InfoLevel, "batch ended", "The trainer ended the batch; this daemon, which ran it, begins nothing more of it. listed of total results were there.")
 	BatchItemSlow       = define(1520, logrus.InfoLevel, "text straggles", "The replica takes much longer for an event than usual_ms, or queues the item; the text goes on at another one that has a place.")
 	BatchWaits          = define(1519, logrus.InfoLevel, "items wait for a place", "No replica may take the first item that waits; the counts tell which filter left none. Told once a second at most.")
+	BatchTextsSaved     = define(1521, logrus.InfoLevel, "growing texts saved", "The store has the texts as far as they have come; whoever takes the batch over goes on with them.")
+	BatchTextsUnsaved   = define(1522, logrus.InfoLevel, "growing texts not saved", "The store did not take them; tried again later. If the batch is taken over meanwhile, they are made anew.")
 	BatchHostPassedOver = define(1512, logrus.InfoLevel, "host passed over", "The daemon that runs the trainer's steps did not take a batch; the one that was asked runs it.")
 )
