placement: other daemons' load fades as their requests end

Ruled out: slow or failing servers (their answers took 70 to 90 ms), too few places (140 to 190 scores/s at 300/s), the bound of a daemon (24 at once). Change: what is left of the reported requests of others halves with each time that a request takes there; own requests count as before. load.go holds it. Test: TestBurstsOfSeveralDaemonsKeepServersBusy; TestLoadOfOtherDaemonsCounts now has a clock, its requests took no time at all before.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -41,7 +41,7 @@
 	if chosen == nil {
 		return nil
 	}
-	lease := &Lease{Replica: chosen.Replica, Choice: s.choice, tracker: t}
+	lease := &Lease{Replica: chosen.Replica, Choice: s.choice, tracker: t, taken: t.now()}
 	lease.Choice.Load, lease.Choice.Slots, lease.Choice.LoadAge = t.loadOf(chosen), slotsOf(chosen), t.ageOf(chosen)
 	chosen.inProgress++
 	return lease
@@ -102,29 +102,6 @@
 	return found
 }
 
-// defaultSlots is assumed of a replica that never told its slots.
-const defaultSlots = 4
-
-func slotsOf(r *replica) int {
-	switch {
-	case r.Slots > 0:
-		return r.Slots
-	case r.load.Slots > 0:
-		return r.load.Slots
-	}
-	return defaultSlots
-}
-
-// loadOf is the replica's own report while it is fresh, corrected by what this daemon
-// sent and finished since; else this daemon's requests only.
-func (t *Tracker) loadOf(r *replica) float64 {
-	if t.now().Sub(r.loadAt) > reportAge {
-		return float64(r.inProgress)
-	}
-	reported := float64(r.load.Running + r.load.Waiting + r.inProgress - r.ownAtLoad)
-	return max(reported, float64(r.inProgress))
-}
-
 // isTrusted leaves out replicas that failed a short time ago.
 func (t *Tracker) isTrusted(c candidate) bool { return !t.now().Before(c.suspect) }
 
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -76,7 +76,10 @@
 
 func TestLoadOfOtherDaemonsCounts(t *testing.T) {
 	tracked := tracker(2)
+	now := time.Unix(0, 0)
+	tracked.now = func() time.Time { return now }
 	lease := tracked.Pick(Request{Service: "s", Exclude: map[string]bool{"r1": true}})
+	now = now.Add(100 * time.Millisecond) // how long its requests last
 	lease.Done(Answered, &upstream.Load{Running: 4, Waiting: 3, Slots: 4}, 0)
 	for range 3 {
 		if got := tracked.Pick(Request{Service: "s"}); got.ID != "r1" {
@@ -143,3 +146,65 @@
 		t.Error("no place left for a caller")
 	}
 }
+
+// TestBurstsOfSeveralDaemonsKeepServersBusy replays the load that othersLeft answers: three
+// daemons score bursts at servers of six slots that tell their load in answers only. Before
+// it, a daemon that had heard of full servers waited until the report no longer counted.
+func TestBurstsOfSeveralDaemonsKeepServersBusy(t *testing.T) {
+	const (
+		daemons, servers, slots = 3, 2, 6
+		burst                   = 40
+		work                    = 80 * time.Millisecond
+	)
+	now := time.Unix(0, 0)
+	var trackers []*Tracker
+	for range daemons {
+		tracked := NewTracker(nil)
+		tracked.now = func() time.Time { return now }
+		for i := range servers {
+			tracked.Set(catalog.Replica{ID: fmt.Sprint("r", i), Service: "s", Slots: slots, State: catalog.Ready})
+		}
+		trackers = append(trackers, tracked)
+	}
+	type request struct {
+		daemon int
+		lease  *Lease
+		ends   time.Time
+	}
+	var running []request
+	at := map[string]int{}
+	left := []int{burst, burst, burst}
+	most := 0
+	for done := 0; done < daemons*burst; now = now.Add(5 * time.Millisecond) {
+		var still []request
+		for _, r := range running {
+			if now.Before(r.ends) {
+				still = append(still, r)
+				continue
+			}
+			at[r.lease.ID]--
+			done++
+			r.lease.Done(Answered, &upstream.Load{Running: at[r.lease.ID], Slots: slots}, work)
+		}
+		running = still
+		for d, tracked := range trackers {
+			for left[d] > 0 {
+				lease := tracked.Pick(Request{Service: "s", MustFit: true, Reserve: 0.34})
+				if lease == nil {
+					break
+				}
+				left[d]--
+				at[lease.ID]++
+				most = max(most, at[lease.ID])
+				running = append(running, request{d, lease, now.Add(work)})
+			}
+		}
+		if now.Sub(time.Unix(0, 0)) > time.Minute {
+			t.Fatalf("%d of %d done after a minute", done, daemons*burst)
+		}
+	}
+	best := daemons * burst * work / (servers * 4) // four slots of each are theirs
+	if took := now.Sub(time.Unix(0, 0)); took > best*3/2 {
+		t.Errorf("%d bursts of %d took %v, at best %v; %d requests at a server of %d slots", daemons, burst, took, best, most, slots)
+	}
+}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -38,8 +38,9 @@
 	ownAtLoad  int // inProgress when load was reported
 	failures   int // in a row
 	suspect    time.Time
-	pace       float64   // mean time a unit of work, ms; 0 when unknown
-	held       time.Time // takes no new work until then: an order is in progress
+	pace       float64       // mean time a unit of work, ms; 0 when unknown
+	lasting    time.Duration // mean time of an answered request; 0 when unknown
+	held       time.Time     // takes no new work until then: an order is in progress
 }
 
 // Tracker keeps the replicas of all services.
@@ -147,6 +148,7 @@
 	Choice Choice // how it was chosen
 
 	tracker *Tracker
+	taken   time.Time
 }
 
 // Outcome is what a request showed about its replica.
@@ -181,6 +183,7 @@
 			t.log.Log(event.PlacementCleared, event.F("replica", l.ID), event.F("failures", r.failures))
 		}
 		r.failures, r.suspect = 0, time.Time{}
+		r.observeLasting(t.now().Sub(l.taken))
 	case Refused:
 		r.suspect = t.now().Add(refusalPause)
 		if load != nil && load.Running+load.Waiting < slotsOf(r) {
