A daemon that starts asks several others at once; stand-ins are asked side by side

Ruled out: the store (the first collector had everything 17 ms after its start); reading the store at each start (560 priced calls a start of 70 daemons). Change: until its copy is whole a daemon asks the next of the first three sources each 100 ms, without waiting for those before; the questions to stand-ins go out together. Also: others' load does not fade at engines. Texts differ in length a hundredfold, those that are left are the long ones. Test: TestSilentSeedsDoNotDelayTheStart (fails 2 of 3 times without, as the order of sources goes), TestLoadOfEnginesDoesNotFade.

--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -138,11 +138,9 @@
 		others = m.candidates(job, peers)[1:]
 		others = others[:min(len(others), standIns-1)]
 	}
-	for _, id := range others {
-		if m.askRuns(ctx, peers[id], job.ID) {
-			k.unserved = 0
-			return
-		}
+	if m.anyRuns(ctx, others, peers, job.ID) {
+		k.unserved = 0
+		return
 	}
 	k.unserved++
 	if len(ahead) > 0 && k.unserved < takeOverRounds*len(ahead) {
@@ -151,6 +149,21 @@
 	m.takeOver(ctx, k, nil)
 }
 
+// anyRuns asks daemons side by side whether one of them runs a batch: those that are lost
+// take the whole time for an answer.
+func (m *Manager) anyRuns(ctx context.Context, daemons []string, peers map[string]string, id string) bool {
+	answers := make(chan bool, len(daemons))
+	for _, daemon := range daemons {
+		go func() { answers <- m.askRuns(ctx, peers[daemon], id) }()
+	}
+	for range daemons {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Manager) askRuns(ctx context.Context, address, id string) bool {
 	if address == "" {
 		return false
--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -181,3 +182,24 @@
 		return strings.Contains(string(s.store.Status("retirements/storage-1")), "completed")
 	})
 }
+
+// A daemon that starts with others asks more than one of them at once: the first may be a
+// machine that is not back yet.
+func TestSilentSeedsDoNotDelayTheStart(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	for range 2 {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = silent.Close() })
+		s.seeds = silent.Addr().String() + "," + s.seeds
+	}
+	begun := time.Now()
+	late := s.start("d2")
+	s.eventually("the daemon is ready", late.ready)
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("ready after %v", took)
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -150,6 +150,7 @@
 		group.Go(func() { m.watch(ctx, kind) })
 	}
 	group.Go(func() { m.attend(ctx) })
+	group.Go(func() { m.hurry(ctx) })
 	group.Wait()
 	return nil
 }
@@ -183,10 +184,8 @@
 	if m.watching != nothing && !m.lost.IsZero() {
 		return max(m.age(), staleAge) // the store turns this daemon away: others should not wait
 	}
-	for _, k := range m.kinds {
-		if k.revision == 0 {
-			return noAge
-		}
+	if !m.whole() {
+		return noAge
 	}
 	return m.age()
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -22,9 +22,17 @@
 // that it reported last. The tracker's lock is held.
 func (t *Tracker) loadOf(r *replica) float64 {
 	others := float64(r.load.Running + r.load.Waiting - r.ownAtLoad)
-	return float64(r.inProgress) + othersLeft(others, t.now().Sub(r.loadAt), r.lasting)
+	lasting := r.lasting
+	if r.generates() {
+		lasting = 0
+	}
+	return float64(r.inProgress) + othersLeft(others, t.now().Sub(r.loadAt), lasting)
 }
 
+// generates reports whether the replica runs models. Texts differ in length a hundredfold: those
+// that are left are the long ones, and the mean says nothing of them.
+func (r *replica) generates() bool { return len(r.Versions) > 0 }
+
 // othersLeft estimates how many of the requests of other daemons are still at a replica that
 // reported them some time ago; lasting is how long its requests take, 0 when unknown. Load
 // pattern: several daemons send bursts of short requests that may wait, as scoring does. Each
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// Two daemons place steps at the same engines: what others' texts were there a moment ago is
+// there still, however short most of them are.
+func TestLoadOfEnginesDoesNotFade(t *testing.T) {
+	tracked := tracker(1)
+	now := time.Unix(0, 0)
+	tracked.now = func() time.Time { return now }
+	lease := tracked.Pick(Request{Service: "s"})
+	now = now.Add(100 * time.Millisecond) // a short text
+	lease.Done(Answered, &upstream.Load{Running: 4, Slots: 4}, 0)
+	now = now.Add(reportAge)
+	if tracked.Pick(Request{Service: "s", MustFit: true}) != nil {
+		t.Error("a place at an engine that reported to be full")
+	}
+}
+
 // The load that the pace answers: one replica of three is four times slower and answers
 // all the same.
 func TestSlowReplicaGetsFewRequests(t *testing.T) {
