roster: daemons that are gone for good leave the list

Ruled out: passing the host over for longer (each daemon finds out for itself), one list of bad hosts passed along (a second truth beside the store). Change: package roster announces this daemon (taken over from edge) and looks after daemons that did not answer as hosts: after six rounds of a second without an answer, while two of three others answer, the entry is deleted, on condition of its version. A daemon that finds itself out of the list announces itself again. The decision (isGone) stands apart. Tests: roster_test.go (table of who is taken out), TestDaemonThatIsGoneIsTakenOutOfTheList.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # hornbeamtide: build, tests, demo and measurements. Needs Go and make only
 # (regenerating the drpc code with "make generate" also needs protoc).
 
-MODULES := fault event measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror relay placement gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
+MODULES := fault event measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror relay roster placement gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 PROTOS := $(wildcard */*pb/*.proto)
 
--- a/batch/host.go
+++ b/batch/host.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		pause := min(max(shunTime, 2*m.shunned[host].pause), maxShunTime)
 		m.shunned[host] = shunning{until: time.Now().Add(pause), pause: pause}
+		m.suspect(host)
 		m.log.Log(event.BatchHostPassedOver, event.F("batch", job.ID), event.F("host", host), event.Err(err))
 		return err
 	}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -28,6 +28,7 @@
 	Tracker       *placement.Tracker
 	Backend       upstream.Backend
 	Configuration func() *catalog.Configuration // nil while none is known
+	Suspect       func(daemon string)           // told of daemons that did not answer
 	Measures      *measure.Set
 	Log           *event.Logger
 }
@@ -42,6 +43,7 @@
 	tracker       *placement.Tracker
 	backend       upstream.Backend
 	configuration func() *catalog.Configuration
+	suspect       func(daemon string)
 	measures      *measure.Set
 	log           *event.Logger
 	scoring       chan struct{} // places of scoring requests
@@ -77,7 +79,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Manager{
 		self: p.Self, store: p.Store, mirror: p.Mirror, members: p.Members, conns: p.Conns, tracker: p.Tracker,
-		backend: p.Backend, configuration: p.Configuration, measures: p.Measures, log: p.Log,
+		backend: p.Backend, configuration: p.Configuration, suspect: p.Suspect, measures: p.Measures, log: p.Log,
 		scoring: make(chan struct{}, scoresAtOnce),
 		ctx:     ctx, stop: stop, jobs: map[string]*known{}, shunned: map[string]shunning{}, look: make(chan struct{}, 1),
 	}
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/peer"
 )
 
 // Register adds the manager's drpc service.
@@ -31,6 +32,18 @@
 	return &batchpb.Reply{}, s.m.acceptHere(ctx, job, false)
 }
 
+// Reach returns a question to the daemon at an address, whether it answers at all.
+func Reach(conns peer.Conns) func(ctx context.Context, address string) error {
+	return func(ctx context.Context, address string) error {
+		conn, err := conns.Conn(ctx, address)
+		if err != nil {
+			return err
+		}
+		_, err = batchpb.NewDRPCBatchClient(conn).Runs(ctx, &batchpb.JobRequest{})
+		return err
+	}
+}
+
 // Cancel implements batchpb.DRPCBatchServer.
 func (s service) Cancel(_ context.Context, request *batchpb.JobRequest) (*batchpb.Reply, error) {
 	s.m.mu.Lock()
--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -371,6 +371,26 @@
 	}
 }
 
+// The daemon that ran a trainer's steps is gone for good: it is soon no host any more, for none
+// of the others, and keeps nobody waiting.
+func TestDaemonThatIsGoneIsTakenOutOfTheList(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4)
+	body, ids := submission(1, 1)
+	s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+	gone := s.runner("lot-1")
+	s.checkWhole(s.readAll(s.daemons[0], "lot-1"), ids)
+	gone.kill()
+	<-gone.done
+	others := s.others(gone)
+	if got := others[0].call("POST", itemPath+"x", "lot-2", body); got.status != http.StatusAccepted {
+		t.Fatalf("status %d", got.status)
+	}
+	for _, d := range others {
+		s.eventually("the daemon is out of the list", func() bool { return len(d.members()) == len(others) })
+	}
+}
+
 // A replica that turned slow while others have places does not keep the step waiting.
 func TestTextsLeaveASlowReplica(t *testing.T) {
 	t.Parallel()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/relay"
+	"github.com/hornbeamtide/hornbeamtide/roster"
 	"github.com/hornbeamtide/hornbeamtide/waves"
 )
 
@@ -68,6 +69,7 @@
 	Server   *peer.Server
 	Relay    *relay.Store
 	Mirror   *mirror.Mirror
+	Roster   *roster.Manager
 	Tracker  *placement.Tracker
 	Backends *platform.Backends
 	Gateway  *gateway.Gateway
@@ -173,7 +175,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
 		func(ctx context.Context) error { return d.Server.Serve(ctx, d.listeners.peer) },
-		d.Mirror.Run, d.Batches.Run, d.announce, d.retire,
+		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.retire,
 	} {
 		running.Go(func() {
 			if err := run(work); err != nil && work.Err() == nil {
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -1,9 +1,7 @@
 package edge
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,47 +9,9 @@
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
-// announcePause is the wait between two tries to write this daemon's own object.
-const announcePause = 500 * time.Millisecond
-
-// announce writes the object by which other daemons find this one.
-func (d *Daemon) announce(ctx context.Context) error {
-	value, err := json.Marshal(platform.Member{
-		ID: d.settings.ID, Address: d.settings.FrontAddress, PeerAddress: d.settings.PeerAddress,
-		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
-	})
-	if err != nil {
-		return err
-	}
-	key := platform.MemberKind + "/" + d.settings.ID
-	for ctx.Err() == nil {
-		o, err := d.Relay.Create(ctx, key, value)
-		if fault.Is(err, fault.Conflict) {
-			o, err = d.replaceMember(ctx, key, value)
-		}
-		if err == nil {
-			d.Mirror.Add(platform.MemberKind, o)
-			return nil
-		}
-		clock.Sleep(ctx, announcePause)
-	}
-	return nil
-}
-
-// replaceMember rewrites the object if it says something else, which happens when an
-// instance comes back at another address.
-func (d *Daemon) replaceMember(ctx context.Context, key string, value []byte) (objectapi.Object, error) {
-	current, err := d.Relay.Get(ctx, key)
-	if err != nil || bytes.Equal(current.Value, value) {
-		return current, err
-	}
-	return d.Relay.Update(ctx, key, value, current.Version)
-}
-
 // retireInterval is the pause between two looks at instances that are to be emptied.
 const retireInterval = 700 * time.Millisecond
 
--- a/edge/members.go
+++ b/edge/members.go
@@ -7,6 +7,27 @@
 	"github.com/hornbeamtide/hornbeamtide/platform"
 )
 
+// ownEntry is the object by which other daemons find this one.
+func (d *Daemon) ownEntry() []byte {
+	value, err := json.Marshal(platform.Member{
+		ID: d.settings.ID, Address: d.settings.FrontAddress, PeerAddress: d.settings.PeerAddress,
+		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
+	})
+	if err != nil {
+		panic(err) // strings only
+	}
+	return value
+}
+
+// peerAddressOf is the drpc address in a daemon's object, "" if it can't be read.
+func peerAddressOf(value []byte) string {
+	var m platform.Member
+	if json.Unmarshal(value, &m) != nil {
+		return ""
+	}
+	return m.PeerAddress
+}
+
 // knownMembers are the daemons that announced themselves.
 func (d *Daemon) knownMembers() []platform.Member {
 	var members []platform.Member
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/relay"
+	"github.com/hornbeamtide/hornbeamtide/roster"
 	"github.com/hornbeamtide/hornbeamtide/waves"
 )
 
@@ -41,10 +42,15 @@
 		func(b *platform.Backends, t *placement.Tracker, h *measure.Set) *gateway.Gateway {
 			return gateway.New(b, t, h, d.log)
 		},
-		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool, t *placement.Tracker, b *platform.Backends, h *measure.Set) *batch.Manager {
+		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
+			return roster.NewManager(roster.Config{
+				Kind: platform.MemberKind, Self: s.ID, Value: d.ownEntry(), AddressOf: peerAddressOf,
+			}, roster.Parts{Store: store, Copy: m, Reach: batch.Reach(conns), Log: d.log})
+		},
+		func(store *relay.Store, m *mirror.Mirror, r *roster.Manager, conns *peer.Pool, t *placement.Tracker, b *platform.Backends, h *measure.Set) *batch.Manager {
 			return batch.NewManager(batch.Parts{
 				Self: s.ID, Store: store, Mirror: m, Members: d.members, Conns: conns, Tracker: t, Backend: b,
-				Configuration: d.configuration.Load, Measures: h, Log: d.log,
+				Configuration: d.configuration.Load, Suspect: r.Suspect, Measures: h, Log: d.log,
 			})
 		},
 		func(store *relay.Store, t *placement.Tracker, b *platform.Backends, batches *batch.Manager, h *measure.Set) *waves.Manager {
