--- a/batch/host.go
+++ b/batch/host.go
@@ -16,8 +16,8 @@
 	// dealt to more daemons in turn.
 	itemsAHost = 256
 	// hostLimit bounds the question to host a batch; a daemon that does not answer is
-	// passed over for shunTime, and twice as long each time, since instances that are gone
-	// for good stay listed.
+	// passed over for shunTime, and twice as long each time: one that is cut off stays
+	// listed while it can announce itself.
 	hostLimit   = 700 * time.Millisecond
 	shunTime    = 5 * time.Second
 	maxShunTime = 5 * time.Minute
--- a/batch/log.go
+++ b/batch/log.go
@@ -160,6 +160,13 @@
 	return l.listed[item] || l.waiting[item]
 }
 
+// isListed reports whether the store has the item's result.
+func (l *resultLog) isListed(item string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listed[item]
+}
+
 // size returns how many results are confirmed.
 func (l *resultLog) size() int {
 	l.mu.Lock()
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -104,11 +104,17 @@
 	return time.Since(begun)
 }
 
-// growing are the unfinished texts by item, those on their way included.
+// growing are the texts by item whose results the store does not have, those on their way
+// included.
 func (s *saver) growing() map[string]Text {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	texts := map[string]Text{}
+	for id, text := range s.whole {
+		if !s.results.isListed(id) {
+			texts[id] = *text.copy()
+		}
+	}
 	for id, text := range s.texts {
 		texts[id] = *text.copy()
 	}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -23,7 +23,7 @@
 	// watches all kinds: daemons disagree about who is first.
 	staleAllAge = 12 * time.Second
 	// badTime is how long a daemon is passed over that gave no fresh news; twice as long
-	// each time that it does not answer, since instances that are gone for good stay listed.
+	// each time that it does not answer, since one that is cut off may stay listed.
 	badTime    = 3 * time.Second
 	maxBadTime = time.Minute
 	// compareInterval is the pause between two questions of one collector to another.
