gateway: an idempotent request leaves a replica that is silent for much longer than usual

The gateway tried another replica only after a failure. Ruled out: giving up after a fixed part of the time (would repeat requests when all replicas are slow), sending twice from the start (doubles the load). Change: after eight times the usual time of its service, at least 200 ms, and while another trusted replica has a place, the attempt ends and counts against the replica, unless others are late on the same route; at most a tenth of the requests. Not for streams, not for non-idempotent requests. Tests: TestRequestLeavesASilentReplica, TestPatienceTable (both fail without), TestFewRequestsLeaveTheirReplica.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,12 +48,13 @@
 	measures *measure.Set
 	log      *event.Logger
 	blame    *blame
+	budget   *budget
 	counts   counters
 }
 
 // New returns a gateway.
 func New(backend upstream.Backend, tracker *placement.Tracker, measures *measure.Set, log *event.Logger) *Gateway {
-	return &Gateway{backend: backend, tracker: tracker, measures: measures, log: log, blame: newBlame()}
+	return &Gateway{backend: backend, tracker: tracker, measures: measures, log: log, blame: newBlame(), budget: newBudget()}
 }
 
 // attempt is a request on its way.
@@ -101,6 +102,7 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	g.counts.requests.Add(1)
+	g.budget.earn()
 	err := errCut // what holds if run panics because the answer broke off
 	defer func() { a.ended(ctx, err) }()
 	err = a.run(ctx, w)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -127,3 +127,62 @@
 		}
 	}
 }
+
+// A kept connection that carries nothing more, or a replica that stands still, costs a caller
+// a part of its time, not all of it.
+func TestRequestLeavesASilentReplica(t *testing.T) {
+	table := []struct {
+		name string
+		kind catalog.RequestKind
+		want bool // answered
+	}{
+		{"idempotent", catalog.Idempotent, true},
+		{"non-idempotent", catalog.NonIdempotent, false},
+	}
+	for _, row := range table {
+		tracker := testTracker(3)
+		route := testRoute("records")
+		route.Kind, route.Timeout = row.kind, time.Second
+		stuck := 0
+		g := New(silent(func(upstream.Call) bool { stuck--; return stuck == 0 }), tracker, nil, nil)
+		for n := range 30 { // the usual time becomes known
+			if err := g.Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: fmt.Sprint(n)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stuck = 1 // the next call is not answered
+		begun := time.Now()
+		err := g.Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: "late"})
+		if took := time.Since(begun); row.want != (err == nil) || row.want && took > 500*time.Millisecond {
+			t.Errorf("%s: %v after %v", row.name, err, took)
+		}
+	}
+}
+
+func TestPatienceTable(t *testing.T) {
+	for _, row := range []struct{ usual, left, want time.Duration }{
+		{0, time.Second, 0},
+		{10 * time.Millisecond, time.Second, leastPatience},
+		{50 * time.Millisecond, time.Second, 400 * time.Millisecond},
+		{100 * time.Millisecond, time.Second, 0}, // too late for another try
+		{10 * time.Millisecond, 300 * time.Millisecond, 0},
+	} {
+		if got := patienceFor(row.usual, row.left); got != row.want {
+			t.Errorf("usual %v, left %v: %v, want %v", row.usual, row.left, got, row.want)
+		}
+	}
+}
+
+func TestFewRequestsLeaveTheirReplica(t *testing.T) {
+	b := newBudget()
+	left := 0
+	for range 1000 {
+		b.earn()
+		if b.spend() {
+			left++
+		}
+	}
+	if most := patienceBurst + int(1000*patienceBudget); left > most {
+		t.Errorf("%d of 1000 requests left their replica, want %d at the most", left, most)
+	}
+}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -20,13 +20,19 @@
 // try sends the request to one replica. It reports whether the caller got its answer.
 func (a *attempt) try(ctx context.Context, w http.ResponseWriter, lease *placement.Lease) (served bool, err error) {
 	started := time.Now()
+	ctx, answered, cancel := a.watch(ctx)
+	defer cancel()
 	answer, err := a.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: a.request.ID, Method: a.request.Method, Target: a.request.Target,
 		Host: a.request.Host, Header: a.request.Header, Body: a.request.Body,
 		Left: time.Until(a.deadline), ResumeAfter: a.request.ResumeAfter, MayRepeat: mayRepeat(a.route),
 	})
 	a.measureHead(answer, err, time.Since(started))
+	answered()
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errSilent) {
+			err = errSilent // its outcome is unknown
+		}
 		a.sentUnless(fault.OutcomeOf(err) == fault.NotRun)
 		lease.Done(a.broke(ctx, lease.ID), nil, 0)
 		return false, err
@@ -71,10 +77,11 @@
 // broke is the outcome of a request without a whole answer: no evidence against the replica
 // if the caller left, or if the route leaves its requests too little time.
 func (a *attempt) broke(ctx context.Context, replica string) placement.Outcome {
+	silent := errors.Is(context.Cause(ctx), errSilent)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !silent:
 		return placement.Unclear
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !a.blame.outOfTime(a.route.Name, replica):
+	case (silent || errors.Is(ctx.Err(), context.DeadlineExceeded)) && !a.blame.outOfTime(a.route.Name, replica):
 		return placement.Unclear
 	}
 	return placement.Broke
