relay: store calls go over a peer that reaches the store

Results of a step were whole at 6.7 s and listed at 11.7 s: each try took 1.5 s directly and up to 0.9 s at each of two peers drawn at random, which were cut off as well (event 1800 on five of them). Ruled out: the outage itself (32 machines reached the store all the time), shorter limits (the store may be slow without being away).

--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -36,8 +36,8 @@
 		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
 			return mirror.New(mirror.Config{Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds()}, store, conns, d.mirrorMembers, d.log)
 		},
-		func(store *platform.Client, conns *peer.Pool) *relay.Store {
-			return relay.New(store, conns, d.otherDaemons, d.log)
+		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool) *relay.Store {
+			return relay.New(store, conns, d.otherDaemons, m.Source, d.log)
 		},
 		func(b *platform.Backends, t *placement.Tracker, h *measure.Set) *gateway.Gateway {
 			return gateway.New(b, t, h, d.log)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -76,6 +76,8 @@
 	freshAll time.Time          // the same for all kinds
 	bad      map[string]passing // daemons that gave no fresh news
 	watching scope              // what this daemon watches in the store
+	source   string             // address of the daemon that gave fresh news last
+	sourceAt time.Time          // when it did
 	heard    time.Time          // when another daemon asked or answered last
 	changed  chan struct{}      // closed when a kind changed
 	role     chan struct{}      // closed when watching changed
@@ -179,6 +181,17 @@
 	return time.Since(m.heard)
 }
 
+// Source returns the address of another daemon that has just given fresh news, and so is in
+// touch with the store or with one that is; "" when there is none.
+func (m *Mirror) Source() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if time.Since(m.sourceAt) > staleAge {
+		return ""
+	}
+	return m.source
+}
+
 // offeredAge is the age of the copy for others: a copy that was never whole is no source.
 func (m *Mirror) offeredAge() time.Duration {
 	if m.watching != nothing && !m.lost.IsZero() {
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -186,6 +186,7 @@
 	case age >= staleAge:
 		return staleNews
 	}
+	m.source, m.sourceAt = from.Address, time.Now()
 	return freshNews
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,8 +20,6 @@
 	// avoidTime is how long the store is called over peers first after it turned this
 	// daemon away.
 	avoidTime = 2 * time.Second
-	// peersTried is how many peers one call is offered to.
-	peersTried = 2
 	// peerLimit bounds one call over a peer.
 	peerLimit = 900 * time.Millisecond
 )
@@ -34,15 +31,18 @@
 	direct objectapi.ObjectStore
 	conns  peer.Conns
 	peers  func() []string // drpc addresses of other daemons
+	source func() string   // drpc address of one that has fresh news of the store, "" for none
+	choice choice
 	log    *event.Logger
 
 	mu    sync.Mutex
 	avoid time.Time // until then the store counts as out of reach
 }
 
-// New returns a Store over direct.
-func New(direct objectapi.ObjectStore, conns peer.Conns, peers func() []string, log *event.Logger) *Store {
-	return &Store{direct: direct, conns: conns, peers: peers, log: log}
+// New returns a Store over direct. peers are the drpc addresses of other daemons, source that
+// of one that has fresh news of the store, "" when none is known.
+func New(direct objectapi.ObjectStore, conns peer.Conns, peers func() []string, source func() string, log *event.Logger) *Store {
+	return &Store{direct: direct, conns: conns, peers: peers, source: source, choice: choice{bad: map[string]time.Time{}}, log: log}
 }
 
 // Register adds the drpc service by which other daemons call over this one.
@@ -99,11 +99,12 @@
 			return answer, err
 		}
 	}
-	for _, address := range s.somePeers() {
+	for _, address := range s.choice.of(s.peers(), s.source()) {
 		if ctx.Err() != nil {
 			break
 		}
-		if answer, err, done := try(s.callOver(ctx, address, request)); done {
+		answer, err, done := try(s.callOver(ctx, address, request))
+		if s.choice.note(address, done); done {
 			return answer, err
 		}
 	}
@@ -118,12 +119,6 @@
 	return nil, last
 }
 
-func (s *Store) somePeers() []string {
-	peers := s.peers()
-	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	return peers[:min(len(peers), peersTried)]
-}
-
 func (s *Store) callOver(ctx context.Context, address string, request *relaypb.CallRequest) (*relaypb.CallAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	own := memstore.New()
 	pool := peer.NewPool(peer.Config{}, nil)
-	s := New(cutStore{shared, own}, pool, peers, nil)
+	s := New(cutStore{shared, own}, pool, peers, func() string { return "" }, nil)
 	server := peer.NewServer(nil)
 	if err := s.Register(server.Mux()); err != nil {
 		t.Fatal(err)
