batch: the count of unserved rounds is guarded; batches are looked after side by side

Cause: the race detector stopped TestBatchOutlivesItsRunner once in 17 runs of the edge tests. Its report was not kept; not seen again in 14 more. A count that supervision changes without the lock is also changed when a batch is handed over: a race that is as old as the hand-over. That the one seen was this one is likely and not shown. Change: the count and the number of items are read under the lock. Also: a daemon looks after its batches side by side, since questions to daemons that are not back take their whole time.

--- a/batch/job.go
+++ b/batch/job.go
@@ -39,6 +39,14 @@
 	Work       float64   `json:"work,omitempty"`  // expected output tokens of the items
 }
 
+// total is how many items the batch has, wherever they are.
+func (j Job) total() int {
+	if len(j.Items) == 0 {
+		return j.Total
+	}
+	return len(j.Items)
+}
+
 // Item is one sample to generate.
 type Item struct {
 	ID     string              `json:"id"`
--- a/batch/read.go
+++ b/batch/read.go
@@ -46,12 +46,7 @@
 }
 
 // total is the number of the batch's items. The manager's lock is held.
-func (k *known) total() int {
-	if len(k.job.Items) == 0 {
-		return k.job.Total
-	}
-	return len(k.job.Items)
-}
+func (k *known) total() int { return k.job.total() }
 
 // runPage reads a batch that this daemon runs, or ran to its end.
 func (m *Manager) runPage(ctx context.Context, k *known, after int, wait time.Duration) (page Page, runs bool, err error) {
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,19 +54,16 @@
 		return // a batch that seems open may have ended
 	}
 	peers := m.members()
+	// Side by side: after the loss of all machines the questions to daemons that are not
+	// back yet take their whole time, and a daemon has several batches to take up again.
+	var batches sync.WaitGroup
 	for _, k := range m.unserved() {
-		job := m.jobOf(k)
-		order := m.candidates(job, peers)
-		for rank, id := range order {
-			if rank > standIns {
-				break
-			}
-			if id == m.self {
-				m.superviseOne(ctx, k, order[:rank], peers)
-				break
-			}
+		order := m.candidates(m.jobOf(k), peers)
+		if rank := slices.Index(order, m.self); rank >= 0 && rank <= standIns {
+			batches.Go(func() { m.superviseOne(ctx, k, order[:rank], peers) })
 		}
 	}
+	batches.Wait()
 	m.yieldDoubles(ctx, peers)
 	m.expire(ctx)
 }
@@ -130,7 +129,7 @@
 
 func (m *Manager) superviseOne(ctx context.Context, k *known, ahead []string, peers map[string]string) {
 	job := m.jobOf(k)
-	if k.log.size() >= k.total() {
+	if k.log.size() >= job.total() {
 		return
 	}
 	others := ahead
@@ -138,15 +137,23 @@
 		others = m.candidates(job, peers)[1:]
 		others = others[:min(len(others), standIns-1)]
 	}
-	if m.anyRuns(ctx, others, peers, job.ID) {
-		k.unserved = 0
+	rounds := m.countUnserved(k, m.anyRuns(ctx, others, peers, job.ID))
+	if rounds == 0 || len(ahead) > 0 && rounds < takeOverRounds*len(ahead) {
 		return
 	}
+	m.takeOver(ctx, k, nil)
+}
+
+// countUnserved returns in how many rounds in a row nobody ahead of this daemon ran a batch,
+// this one included. A batch may be handed over at the same moment.
+func (m *Manager) countUnserved(k *known, served bool) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	k.unserved++
-	if len(ahead) > 0 && k.unserved < takeOverRounds*len(ahead) {
-		return
+	if served {
+		k.unserved = 0
 	}
-	m.takeOver(ctx, k, nil)
+	return k.unserved
 }
 
 // anyRuns asks daemons side by side whether one of them runs a batch: those that are lost
