--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -186,3 +186,23 @@
 		t.Errorf("%d of 1000 requests left their replica, want %d at the most", left, most)
 	}
 }
+
+// An answer that comes in the moment in which its replica would be left: the look at the other
+// replicas must not meet the choice of the next one. For the race detector.
+func TestPatienceBesideTheNextAttempt(t *testing.T) {
+	route := testRoute("records")
+	route.Timeout = time.Second
+	tracker := testTracker(3)
+	for range 3 {
+		a := &attempt{
+			Gateway: New(silent(nil), tracker, nil, nil), route: route,
+			deadline: time.Now().Add(time.Second), tried: map[string]bool{},
+		}
+		tracker.Pick(a.needs()).Done(placement.Answered, nil, time.Millisecond)
+		_, _, end := a.watch(t.Context())
+		for until := time.Now().Add(leastPatience + 20*time.Millisecond); time.Now().Before(until); time.Sleep(100 * time.Microsecond) {
+			a.tried["r0"] = !a.tried["r0"]
+		}
+		end()
+	}
+}
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -63,24 +64,22 @@
 }
 
 // watch returns the context of an attempt, which ends with errSilent as its cause when the
-// replica should be left; stop is called once it has answered.
-func (a *attempt) watch(ctx context.Context) (bounded context.Context, stop func() bool, cancel func()) {
-	bounded, cancelCause := context.WithCancelCause(ctx)
-	cancel = func() { cancelCause(nil) }
-	if a.route.Kind != catalog.Idempotent || a.sent+1 >= a.route.MaxAttempts {
-		return bounded, func() bool { return true }, cancel
-	}
+// replica should be left: if it may be repeated and another replica has a place. headCame is
+// called once the replica has answered, end when the attempt is over.
+func (a *attempt) watch(ctx context.Context) (bounded context.Context, headCame, end func()) {
+	bounded, cancel := context.WithCancelCause(ctx)
+	end = func() { cancel(nil) }
 	others := a.needs()
-	others.MustFit = true
+	others.MustFit, others.Exclude = true, maps.Clone(a.tried) // the timer may outlast the attempt
 	usual, free := a.tracker.Usual(others)
 	limit := patienceFor(usual, time.Until(a.deadline))
-	if !free || limit == 0 {
-		return bounded, func() bool { return true }, cancel
+	if a.route.Kind != catalog.Idempotent || a.sent+1 >= a.route.MaxAttempts || !free || limit == 0 {
+		return bounded, func() {}, end
 	}
 	timer := time.AfterFunc(limit, func() {
 		if _, free := a.tracker.Usual(others); free && a.budget.spend() {
-			cancelCause(errSilent)
+			cancel(errSilent)
 		}
 	})
-	return bounded, timer.Stop, func() { timer.Stop(); cancelCause(nil) }
+	return bounded, func() { timer.Stop() }, end
 }
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -20,15 +20,15 @@
 // try sends the request to one replica. It reports whether the caller got its answer.
 func (a *attempt) try(ctx context.Context, w http.ResponseWriter, lease *placement.Lease) (served bool, err error) {
 	started := time.Now()
-	ctx, answered, cancel := a.watch(ctx)
-	defer cancel()
+	ctx, headCame, end := a.watch(ctx)
+	defer end()
 	answer, err := a.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: a.request.ID, Method: a.request.Method, Target: a.request.Target,
 		Host: a.request.Host, Header: a.request.Header, Body: a.request.Body,
 		Left: time.Until(a.deadline), ResumeAfter: a.request.ResumeAfter, MayRepeat: mayRepeat(a.route),
 	})
 	a.measureHead(answer, err, time.Since(started))
-	answered()
+	headCame()
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errSilent) {
 			err = errSilent // its outcome is unknown
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -33,9 +33,10 @@
 	for _, address := range peers {
 		if time.Now().Before(c.bad[address]) {
 			rest = append(rest, address)
-		} else {
-			good = append(good, address)
+			continue
 		}
+		delete(c.bad, address)
+		good = append(good, address)
 	}
 	slices.SortStableFunc(good, func(a, b string) int { return c.rank(a, source) - c.rank(b, source) })
 	good = append(good, rest...)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -104,7 +104,10 @@
 			break
 		}
 		answer, err, done := try(s.callOver(ctx, address, request))
-		if s.choice.note(address, done); done {
+		if done || ctx.Err() == nil { // else the caller's time was over, whatever the peer can do
+			s.choice.note(address, done)
+		}
+		if done {
 			return answer, err
 		}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -94,3 +94,26 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A caller whose own time is over says nothing of the peer that was asked for it.
+func TestCallersLimitIsNoFaultOfThePeer(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	peer := silent.Addr().String()
+	s, faults, _ := newDaemon(t, memstore.New(), func() []string { return []string{peer} })
+	faults.SetFaults(memstore.Faults{Outage: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := s.Create(ctx, "k/short", []byte("v")); err == nil {
+		t.Fatal("a peer that never answers made the call")
+	}
+	if len(s.choice.bad) > 0 {
+		t.Error("the peer is passed over after a caller's own limit")
+	}
+	if _, err := s.Create(t.Context(), "k/long", []byte("v")); err == nil || len(s.choice.bad) != 1 {
+		t.Errorf("error %v; the silent peer is not passed over after the call's limit", err)
+	}
+}
