--- a/waves/lease.go
+++ b/waves/lease.go
@@ -30,6 +30,7 @@
 	Renewal          int64  `json:"renewal"`     // increases with each write of an incarnation
 	Released         bool   `json:"released,omitempty"`
 	SinceLastOrderMs int64  `json:"quiet_ms,omitempty"` // time between the last order and the release
+	WaitMs           int64  `json:"wait_ms,omitempty"`  // time from the renewal until the holder may send its first order
 }
 
 // lease is this daemon's view of the lease.
@@ -88,7 +89,7 @@
 	l.renewals++
 	value, err := json.Marshal(leaseValue{
 		Holder: l.self, Incarnation: l.incarnation, Renewal: l.renewals, Released: true,
-		SinceLastOrderMs: (l.clock() - l.lastOrderAt).Milliseconds(),
+		SinceLastOrderMs: l.sinceLastOrder().Milliseconds(),
 	})
 	l.mu.Unlock()
 	if token == 0 || err != nil {
@@ -138,6 +139,34 @@
 	}()
 }
 
+// sinceLastOrder returns how long ago this daemon or, while this daemon waits for them to end, the
+// previous holder may have sent an order. The caller holds the lock.
+func (l *lease) sinceLastOrder() time.Duration {
+	now := l.clock()
+	return min(now-l.lastOrderAt, l.duration-l.remainingWait(now))
+}
+
+// remainingWait returns how long this daemon may send no orders. The caller holds the lock.
+func (l *lease) remainingWait(now time.Duration) time.Duration { return max(l.ordersFrom-now, 0) }
+
+// isWaiting reports whether this daemon holds the lease but may not send orders yet, since the
+// previous holder's may still be in flight.
+func (l *lease) isWaiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	return l.token > 0 && now < l.expiresAt && l.remainingWait(now) > 0
+}
+
+// adoptOwn takes over the lease of an earlier incarnation of this daemon, which may have sent an
+// order just before it ended.
+func (l *lease) adoptOwn(ctx context.Context, version int64, current leaseValue) bool {
+	l.mu.Lock()
+	l.lastOrderAt = l.clock()
+	l.mu.Unlock()
+	return l.renew(ctx, version, time.Duration(current.WaitMs)*time.Millisecond)
+}
+
 // acquire takes the lease if it is free, released or expired. It reports whether this daemon
 // holds it.
 func (l *lease) acquire(ctx context.Context) bool {
@@ -151,6 +180,8 @@
 	var current leaseValue
 	readable := json.Unmarshal(o.Value, &current) == nil
 	switch {
+	case readable && current.Holder == l.self && current.Incarnation != l.incarnation:
+		return l.adoptOwn(ctx, o.Version, current)
 	case readable && current.Holder == l.self:
 		return l.renew(ctx, o.Version, 0)
 	case readable && current.Released:
@@ -181,8 +212,11 @@
 func (l *lease) renew(ctx context.Context, version int64, orderDelay time.Duration) bool {
 	l.mu.Lock()
 	l.renewals++
-	value, err := json.Marshal(leaseValue{Holder: l.self, Incarnation: l.incarnation, Renewal: l.renewals})
 	sent := l.clock()
+	value, err := json.Marshal(leaseValue{
+		Holder: l.self, Incarnation: l.incarnation, Renewal: l.renewals,
+		WaitMs: max(l.remainingWait(sent), orderDelay).Milliseconds(),
+	})
 	l.mu.Unlock()
 	if err != nil {
 		return false
@@ -208,6 +242,6 @@
 		l.log.Log(event.WaveLeaseTaken, event.F("token", o.Version), event.F("quiet", orderDelay.String()))
 	}
 	l.token, l.expiresAt = o.Version, sent+l.duration-leaseMargin
-	l.ordersFrom = l.clock() + orderDelay
+	l.ordersFrom = max(l.ordersFrom, l.clock()+orderDelay) // a renewal does not end a wait
 	return true
 }
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -169,6 +169,8 @@
 	}
 	rank, stalled := m.takeoverRank()
 	switch {
+	case m.lease.isWaiting():
+		m.lease.renewInBackground(ctx)
 	case stalled >= time.Duration(rank)*takeoverDelay:
 		m.lease.acquire(ctx)
 	case rank <= maxObserverRank && stalled > observeDelay && time.Since(m.observedAt) > observeDelay:
--- a/waves/waves_test.go
+++ b/waves/waves_test.go
@@ -101,6 +101,70 @@
 	mustHold(t, b, true, "3.1 s after the previous holder's last order")
 }
 
+// A new holder reads the lease again while it waits for the previous holder's orders to end. It
+// must not take its own renewal for permission to send orders, or both order within the lease's
+// duration.
+func TestRenewalDoesNotEndTheWaitForThePreviousHolder(t *testing.T) {
+	_, clk, leases := newLeases(false)
+	a, b := leases["a"], leases["b"]
+	a.acquire(t.Context())
+	b.acquire(t.Context())
+	clk.elapsed += 3400 * time.Millisecond
+	if !b.acquire(t.Context()) {
+		t.Fatal("expired lease not taken over")
+	}
+	for range 14 {
+		clk.elapsed += 200 * time.Millisecond
+		b.acquire(t.Context())
+		mustHold(t, b, false, "less than the lease's duration after the takeover")
+	}
+	clk.elapsed += 300 * time.Millisecond
+	mustHold(t, b, true, "the lease's duration after the takeover")
+}
+
+// A rolling stop passes the lease on before its new holder may send orders. The next holder must
+// wait for the orders of the one before.
+func TestReleaseWithoutOrdersKeepsTheWaitForThePreviousHolder(t *testing.T) {
+	_, clk, leases := newLeases(true)
+	a, b := leases["a"], leases["b"]
+	a.acquire(t.Context())
+	a.tokenForOrder()
+	a.release(t.Context())
+	clk.elapsed += time.Second
+	b.acquire(t.Context())
+	b.release(t.Context())
+	c := &lease{store: a.store, self: "c", duration: a.duration, fenced: true, clock: a.clock}
+	c.acquire(t.Context())
+	mustHold(t, c, false, "1 s after the last order")
+	clk.elapsed += 3100 * time.Millisecond
+	mustHold(t, c, true, "3.1 s after the second hand-over")
+}
+
+// A holder crashes after an order and restarts. It does not know when it sent the last order, so
+// the next holder must wait for the whole duration from the restart; and a wait that the crash
+// interrupted goes on.
+func TestRestartedHolderKeepsTheWaitsOfItsPreviousIncarnation(t *testing.T) {
+	_, clk, leases := newLeases(false)
+	a, b := leases["a"], leases["b"]
+	restart := func(l *lease) *lease {
+		return &lease{store: l.store, self: l.self, incarnation: l.incarnation + 1, duration: l.duration, fenced: l.fenced, clock: l.clock}
+	}
+	a.acquire(t.Context())
+	a.tokenForOrder()
+	a = restart(a)
+	a.acquire(t.Context())
+	a.release(t.Context())
+	b.acquire(t.Context())
+	mustHold(t, b, false, "right after the previous holder's restart and release")
+	clk.elapsed += time.Second
+	b = restart(b)
+	b.acquire(t.Context())
+	mustHold(t, b, false, "restarted in its wait")
+	clk.elapsed += 3100 * time.Millisecond
+	b.acquire(t.Context())
+	mustHold(t, b, true, "3.1 s after its restart")
+}
+
 func TestRestartedHolderGetsHigherToken(t *testing.T) {
 	_, _, leases := newLeases(true)
 	a := leases["a"]
