--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -23,6 +23,9 @@
 	// missingGracePeriod is how long such a missing object stays. A writer that is alive writes
 	// its object again within 2 s.
 	missingGracePeriod = 2500 * time.Millisecond
+	// staleFallbackDelay is how long after its start a daemon rejects outdated copies of other
+	// daemons. Several are asked in that time; in an outage of the store all of them are outdated.
+	staleFallbackDelay = 600 * time.Millisecond
 )
 
 // Kind is a kind of objects to mirror.
@@ -71,6 +74,8 @@
 
 	mu           sync.Mutex
 	kinds        map[string]*kindCopy
+	startedAt    time.Time
+	confirmed    bool                  // the copy once matched the store since the start
 	storeLostAt  time.Time             // when the store stopped responding to this daemon; zero while it responds
 	freshAt      time.Time             // when the urgent kinds last matched the store
 	allFreshAt   time.Time             // when all kinds last matched the store
@@ -87,7 +92,8 @@
 type kindCopy struct {
 	Kind
 
-	revision    int64 // 0 until the full state was received
+	revision    int64 // 0 until the full state was received; never decreases
+	mustList    bool  // the store no longer holds the changes after revision
 	lastChange  int64 // revision of the last change
 	objects     map[string]objectapi.Object
 	observers   []func(Change)
@@ -101,7 +107,7 @@
 	m := &Mirror{
 		cfg: cfg, store: store, conns: conns, members: members, log: log,
 		kinds: map[string]*kindCopy{}, skipped: map[string]skipPeriod{},
-		changed: make(chan struct{}), roleChange: make(chan struct{}), freshAt: time.Now(), allFreshAt: time.Now(), lastContact: time.Now(), watching: watchNothing,
+		startedAt: time.Now(), changed: make(chan struct{}), roleChange: make(chan struct{}), freshAt: time.Now(), allFreshAt: time.Now(), lastContact: time.Now(), watching: watchNothing,
 	}
 	for _, kind := range cfg.Kinds {
 		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, missing: map[string]time.Time{}}
@@ -201,6 +207,9 @@
 	if !m.isCompleteLocked() {
 		return unknownAge
 	}
+	if !m.confirmed {
+		return max(m.age(), staleAge) // freshAt is the start of this daemon, the copy may be much older
+	}
 	return m.age()
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -89,6 +89,49 @@
 	}
 }
 
+// A daemon restarts, and the first daemon it asks has been cut off since before a server left. The
+// server must not be used again while another daemon can send a fresh copy.
+func TestRestartedDaemonWaitsForAFreshCopy(t *testing.T) {
+	stale := &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds(), News: []*mirrorpb.News{
+		{Kind: "servers", Revision: 5, Keys: []string{"servers/left"}, Changed: []*mirrorpb.Object{{Key: "servers/left", Version: 4}}},
+	}}
+	fresh := &mirrorpb.SyncAnswer{AgeMs: 10, News: []*mirrorpb.News{
+		{Kind: "servers", Revision: 9, Keys: []string{"servers/a"}, Changed: []*mirrorpb.Object{{Key: "servers/a", Version: 8}}},
+	}}
+	m := newTestMirror()
+	if got := m.applyResponse("cut-off", stale); got != staleCopy || m.Known("servers") {
+		t.Errorf("result %v, known %t; want a stale copy that is not used", got, m.Known("servers"))
+	}
+	if got := m.applyResponse("other", fresh); got != freshCopy || hasObject(m, "left") || !hasObject(m, "a") {
+		t.Errorf("result %v, left %t, a %t; want only a", got, hasObject(m, "left"), hasObject(m, "a"))
+	}
+
+	isolated := newTestMirror()
+	isolated.startedAt = time.Now().Add(-staleFallbackDelay)
+	isolated.applyResponse("cut-off", stale)
+	if !isolated.Known("servers") {
+		t.Error("a stale copy is not used although there is no other")
+	}
+	if resp, _ := isolated.updatesFor(&mirrorpb.SyncRequest{}); resp.AgeMs < staleAge.Milliseconds() {
+		t.Error("a restarted daemon passes a stale copy on as fresh")
+	}
+}
+
+// The store's history expires, so that a collector must list the kind again. Until then it must not
+// take an older copy of another daemon, in which servers that have left still stand, and it stays
+// ready.
+func TestOlderUpdatesAreIgnoredAfterHistoryExpired(t *testing.T) {
+	m := newTestMirror()
+	m.replace("servers", objectapi.Snapshot{Revision: 9, Objects: []objectapi.Object{testObject("a", 8)}})
+	m.requireList("servers")
+	m.applyUpdate(&mirrorpb.News{
+		Kind: "servers", Revision: 5, Keys: []string{"servers/left"}, Changed: []*mirrorpb.Object{{Key: "servers/left", Version: 4}},
+	}, "other", false)
+	if hasObject(m, "left") || !hasObject(m, "a") || !m.Known("servers") {
+		t.Errorf("left %t, a %t, known %t; want only a", hasObject(m, "left"), hasObject(m, "a"), m.Known("servers"))
+	}
+}
+
 func TestMirrorWithoutStoreIsNoSource(t *testing.T) {
 	m := newTestMirror()
 	if resp, _ := m.updatesFor(&mirrorpb.SyncRequest{}); resp.AgeMs < unknownAge.Milliseconds() {
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -167,32 +167,52 @@
 	if err != nil {
 		return noResponse
 	}
+	result := m.applyResponse(from.ID, resp)
+	if result == freshCopy {
+		m.setLastSource(from.Address)
+	}
+	return result
+}
+
+// applyResponse applies another daemon's updates. After a start, an outdated copy is used only when
+// staleFallbackDelay has passed without a better one: it may hold objects that were deleted since.
+func (m *Mirror) applyResponse(from string, resp *mirrorpb.SyncAnswer) syncResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastContact = time.Now()
+	age := time.Duration(resp.AgeMs) * time.Millisecond
+	outdated := age >= staleAge && age < unknownAge
+	if outdated && !m.isCompleteLocked() && time.Since(m.startedAt) < staleFallbackDelay {
+		return staleCopy
+	}
 	afterOutage := m.age() > outageAge
 	updated := false
 	for _, update := range resp.News {
-		if m.applyUpdate(update, from.ID, afterOutage) {
+		if m.applyUpdate(update, from, afterOutage) {
 			updated = true
 		}
 	}
 	if updated {
 		m.notifyWaiters()
 	}
-	age := time.Duration(resp.AgeMs) * time.Millisecond
 	m.freshAt = later(m.freshAt, time.Now().Add(-age))
 	m.allFreshAt = later(m.allFreshAt, time.Now().Add(-time.Duration(resp.AgeAllMs)*time.Millisecond))
 	switch {
 	case age >= unknownAge:
 		return emptyCopy
-	case age >= staleAge:
+	case outdated:
 		return staleCopy
 	}
-	m.lastSource, m.lastSourceAt = from.Address, time.Now()
+	m.confirmed = true
 	return freshCopy
 }
 
+func (m *Mirror) setLastSource(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastSource, m.lastSourceAt = address, time.Now()
+}
+
 func (m *Mirror) syncRequest(wait time.Duration) *mirrorpb.SyncRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -40,7 +40,7 @@
 		}
 		if fault.Is(err, fault.Conflict) {
 			m.log.Log(event.MirrorHistoryExpired, event.F("kind", kind.Name))
-			m.resetRevision(kind.Name)
+			m.requireList(kind.Name)
 			continue
 		}
 		m.storeFailed(kind.Name, err)
@@ -94,8 +94,8 @@
 // listAndWatch lists the kind if its state is unknown, then watches it until an error or until
 // this daemon need not watch it any more. It reports whether the store responded.
 func (m *Mirror) listAndWatch(ctx context.Context, kind Kind) (responded bool, err error) {
-	after := m.revision(kind.Name)
-	if after == 0 {
+	after, mustList := m.revision(kind.Name)
+	if mustList {
 		list, err := m.store.List(ctx, kind.Name+"/")
 		if err != nil {
 			return false, err
@@ -124,17 +124,21 @@
 	}
 }
 
-func (m *Mirror) revision(kind string) int64 {
+// revision returns the revision of the copy, and whether the kind must be listed before it can be
+// watched.
+func (m *Mirror) revision(kind string) (revision int64, mustList bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.kinds[kind].revision
+	k := m.kinds[kind]
+	return k.revision, k.mustList || k.revision == 0
 }
 
-// resetRevision causes the kind to be listed again; the objects stay until then.
-func (m *Mirror) resetRevision(kind string) {
+// requireList causes the kind to be listed again. The copy and its revision stay until then, so
+// that an older copy of another daemon does not replace it.
+func (m *Mirror) requireList(kind string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.kinds[kind].revision = 0
+	m.kinds[kind].mustList = true
 }
 
 // storeFailed records the start of a store outage.
@@ -162,6 +166,7 @@
 		}
 	}
 	m.freshAt = later(m.freshAt, oldest)
+	m.confirmed = m.confirmed || !oldest.IsZero()
 	m.allFreshAt = later(m.allFreshAt, oldestOfAll)
 	if !m.storeLostAt.IsZero() {
 		m.log.Log(event.MirrorStoreRegained, event.F("after", time.Since(m.storeLostAt).Round(time.Millisecond).String()))
@@ -197,6 +202,7 @@
 	defer m.mu.Unlock()
 	k, afterOutage := m.kinds[kind], m.age() > outageAge
 	m.storeResponded(k)
+	k.mustList = false
 	if list.Revision < k.revision {
 		return
 	}
