--- a/batch/drain.go
+++ b/batch/drain.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 	"github.com/hornbeamtide/hornbeamtide/event"
 )
 
 // Drain hands the batches that this daemon runs over to other daemons, with the completions
-// of their unfinished items.
+// of their unfinished items, until ctx ends. Batches are handed over concurrently, since each may
+// meet a daemon that does not respond.
 func (m *Manager) Drain(ctx context.Context) {
 	m.mu.Lock()
 	m.draining = true
@@ -20,9 +22,11 @@
 		}
 	}
 	m.mu.Unlock()
+	var handOvers sync.WaitGroup
 	for _, b := range running {
-		m.handOver(ctx, b)
+		handOvers.Go(func() { m.handOver(ctx, b) })
 	}
+	handOvers.Wait()
 }
 
 func (m *Manager) handOver(ctx context.Context, b *batchState) {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -269,19 +269,22 @@
 	return server
 }
 
-// stop drains the daemon within StopTime.
+// stop drains the daemon within StopTime. Batches are handed over while callers are still served:
+// a peer that does not respond must not take the time of the requests in flight.
 func (d *Daemon) stop(workCtx context.Context, front *http.Server) {
 	d.log.Log(event.DaemonDraining)
 	start := time.Now()
+	stopCtx, cancel := context.WithDeadline(workCtx, start.Add(d.settings.StopTime-stopMargin))
+	defer cancel()
 	d.draining.Store(true)
-	d.Batches.Drain(workCtx)
+	var handOver sync.WaitGroup
+	handOver.Go(func() { d.Batches.Drain(stopCtx) })
 	time.Sleep(time.Until(start.Add(drainNoticeTime)))
-	shutdownCtx, cancel := context.WithDeadline(workCtx, start.Add(d.settings.StopTime-stopMargin))
-	defer cancel()
-	if err := front.Shutdown(shutdownCtx); err != nil {
+	if err := front.Shutdown(stopCtx); err != nil {
 		d.log.Log(event.DaemonDrainTimeExceeded, event.Err(err))
 		_ = front.Close()
 	}
+	handOver.Wait()
 }
 
 func newLogger(s Settings, output io.Writer) *event.Logger {
--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -1,13 +1,18 @@
 package edge
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakereplica"
 )
@@ -162,6 +167,66 @@
 	}
 }
 
+// A daemon that stops hands its batches over, to a member that does not respond. Meanwhile callers
+// keep sending; none of the requests that the daemon accepts may be cut off, and the stop may not
+// take longer than its time.
+func TestStopWithUnresponsivePeerCutsNoRequests(t *testing.T) {
+	t.Parallel()
+	s := newTestSystem(t, 1)
+	d := s.daemons[0]
+	silent := listenSilently(t)
+	entry, err := json.Marshal(platform.Member{ID: "silent", Address: silent, PeerAddress: silent, Region: "r", FailureDomain: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.store.PutSpec("members/silent", entry)
+	s.eventually("the silent member is known", func() bool { return len(d.members()) == 2 })
+	for _, replica := range s.modelReplicas {
+		replica.SetFaults(fakereplica.Faults{Delay: time.Minute}) // the batches stay open
+	}
+	for i := range 4 {
+		body, _ := batchBody(1, 1)
+		if got := d.call("POST", itemPath+"x", fmt.Sprint("lot-", i), body); got.status != http.StatusAccepted {
+			t.Fatalf("submission: %+v", got)
+		}
+	}
+	for _, replica := range s.plainReplicas {
+		replica.SetFaults(fakereplica.Faults{Delay: 100 * time.Millisecond})
+	}
+	started := time.Now()
+	d.stop()
+	var callers sync.WaitGroup
+	for caller := range 6 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				got := d.call("POST", plainPath+"x", fmt.Sprintf("r-%d-%d", caller, n), nil)
+				if errors.Is(got.err, syscall.ECONNREFUSED) {
+					return
+				}
+				if got.status != http.StatusOK {
+					t.Errorf("request cut off %v after the stop began: %+v", time.Since(started), got)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	<-d.done
+	if took := time.Since(started); took > d.settings.StopTime {
+		t.Errorf("the stop took %v, more than %v", took, d.settings.StopTime)
+	}
+}
+
+// listenSilently returns an address that accepts connections and never responds.
+func listenSilently(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String() // the kernel accepts connections
+}
+
 func TestBodyOverTheLimitIsRefused(t *testing.T) {
 	t.Parallel()
 	s := newTestSystem(t, 1)
