--- a/backend/client.go
+++ b/backend/client.go
@@ -8,8 +8,12 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 )
 
-// maxIdleConnsPerServer is the maximum number of idle connections to one server.
-const maxIdleConnsPerServer = 256
+const (
+	// maxIdleConnsPerServer is the maximum number of idle connections to one server.
+	maxIdleConnsPerServer = 256
+	// maxResponseHeadBytes limits the head of a response: a faulty server may send bytes without end.
+	maxResponseHeadBytes = 64 << 10
+)
 
 // Client implements Dialer over HTTP/1.1. Each server has its own transport, so that a
 // stalled server affects no connections to other servers.
@@ -68,9 +72,10 @@
 func newServer(address string, timeouts Timeouts, log *event.Logger, counters *counters) *server {
 	s := &server{address: address, timeouts: timeouts, log: log, counters: counters}
 	s.transport = &http.Transport{
-		DialContext:         s.dial,
-		MaxIdleConnsPerHost: maxIdleConnsPerServer,
-		DisableCompression:  true,
+		DialContext:            s.dial,
+		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
+		DisableCompression:     true,
 	}
 	return s
 }
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -65,6 +65,9 @@
 	if err != nil {
 		return EngineStatus{}, err
 	}
+	if err := c.headerError(""); err != nil {
+		return EngineStatus{}, err
+	}
 	if c.response.StatusCode != http.StatusOK {
 		return EngineStatus{}, c.statusCodeError()
 	}
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -12,7 +12,8 @@
 	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
-// maxEventBytes is the maximum size of one server-sent event.
+// maxEventBytes is the maximum number of bytes up to the end of a server-sent event, with the
+// comments and blank lines before it.
 const maxEventBytes = 1 << 20
 
 // stream implements Stream on the server-sent events of one response.
@@ -137,7 +138,7 @@
 			return sseEvent{}, err
 		}
 		progress()
-		eventBytes += len(line)
+		eventBytes += len(line) + 1 // with its line feed
 		if eventBytes > maxEventBytes {
 			return sseEvent{}, errEventTooLong
 		}
