--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -129,6 +129,64 @@
 	}
 }
 
+// A replica that ends while it writes an event closes the connection as if a body without a length
+// were complete. The caller must not get a complete response.
+func TestStreamThatEndsWithinAnEventIsCutOff(t *testing.T) {
+	for _, row := range []struct {
+		name, body string
+		complete   bool
+	}{
+		{"complete", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", true},
+		{"complete, with CRLF", "id: 1\r\ndata: x\r\n\r\n", true},
+		{"no event", "", true},
+		{"within a line", "id: 1\ndata: x\n\nid: 2\nda", false},
+		{"between two lines", "id: 1\ndata: x\n\nid: 2\n", false},
+	} {
+		for chunk := range 4 { // how the bytes are split over reads
+			body := io.Reader(strings.NewReader(row.body))
+			if chunk > 0 {
+				body = &splitReader{text: row.body, size: chunk}
+			}
+			backend := scriptedBackend{func() (*upstream.Response, error) {
+				return &upstream.Response{
+					Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(body), Length: -1, Signed: true,
+				}, nil
+			}}
+			route := testRoute("chat")
+			route.Kind, route.Timeout = catalog.Streaming, time.Second
+			if got := forwardCompletes(New(&backend, testTracker(1), nil, nil), route); got != row.complete {
+				t.Errorf("%s in reads of %d bytes: complete %t", row.name, chunk, got)
+			}
+		}
+	}
+}
+
+// forwardCompletes reports whether the caller gets a complete response.
+func forwardCompletes(g *Gateway, route *catalog.Route) (complete bool) {
+	defer func() {
+		if recover() == http.ErrAbortHandler {
+			complete = false
+		}
+	}()
+	return g.Forward(context.Background(), httptest.NewRecorder(), route, Request{ID: "r"}) == nil
+}
+
+// splitReader returns text in reads of size bytes.
+type splitReader struct {
+	text string
+	size int
+}
+
+// Read implements io.Reader.
+func (r *splitReader) Read(p []byte) (int, error) {
+	if r.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, r.text[:min(r.size, len(r.text))])
+	r.text = r.text[n:]
+	return n, nil
+}
+
 // Guards against a caller that spends all its time on a dead kept-alive connection or a replica
 // that hangs.
 func TestIdempotentRequestIsRetriedAfterAttemptTimeout(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/placement"
@@ -23,8 +24,13 @@
 	w.WriteHeader(resp.Status)
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, streamBuffer)
+	var position eventPosition
 	for {
 		n, err := resp.Body.Read(buffer)
+		position.advance(buffer[:n])
+		if errors.Is(err, io.EOF) && position.withinEvent() && isEventStream(resp.Header) {
+			err = io.ErrUnexpectedEOF
+		}
 		if n > 0 {
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				lease.Done(placement.Inconclusive, resp.Load, 0)
@@ -47,3 +53,28 @@
 		}
 	}
 }
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+// eventPosition is the position in a stream of events. A response without a length ends with its
+// connection, also when the replica stops within an event.
+type eventPosition struct {
+	inLine  bool // the current line has text
+	inEvent bool // a line of the current event has ended
+}
+
+func (p *eventPosition) advance(text []byte) {
+	for _, b := range text {
+		switch b {
+		case '\r':
+		case '\n':
+			p.inEvent, p.inLine = p.inLine, false // a blank line ends the event
+		default:
+			p.inLine = true
+		}
+	}
+}
+
+func (p *eventPosition) withinEvent() bool { return p.inLine || p.inEvent }
