--- a/batch/item.go
+++ b/batch/item.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,9 +25,21 @@
 	// item moves to another replica.
 	firstEventTimeout = 4 * time.Second
 	eventTimeout      = 2500 * time.Millisecond
-	requeueDelay      = 30 * time.Millisecond
+	// fixedTimeouts is the number of timeouts of an item after which each further one doubles the
+	// wait, at most maxTimeoutDoublings times.
+	fixedTimeouts       = 2
+	maxTimeoutDoublings = 5
+	requeueDelay        = 30 * time.Millisecond
 )
 
+// waitForEvent returns how long an item waits for an event, given how often it has timed out. Load
+// pattern: all replicas generate slowly but steadily. With a fixed wait an item whose events take
+// longer would be interrupted before each of them and never be complete. A replica that hangs costs
+// the fixed wait as long as others respond.
+func waitForEvent(wait time.Duration, timeouts int) time.Duration {
+	return wait << min(max(timeouts-fixedTimeouts, 0), maxTimeoutDoublings)
+}
+
 // errWeightsTooOld means that a replica generates with weights older than the batch allows.
 var errWeightsTooOld = fault.New(fault.Stale, "the replica's weights are older than the batch allows", "wait until the replica has loaded newer weights")
 
@@ -78,8 +91,17 @@
 func (r *run) stream(t *task, lease *placement.Lease) error {
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
-	idleTimer := time.AfterFunc(firstEventTimeout, cancel)
-	defer idleTimer.Stop()
+	var timedOut atomic.Bool
+	idleTimer := time.AfterFunc(waitForEvent(firstEventTimeout, t.timeouts), func() {
+		timedOut.Store(true)
+		cancel()
+	})
+	defer func() {
+		idleTimer.Stop()
+		if timedOut.Load() {
+			t.timeouts++
+		}
+	}()
 	start := time.Now()
 	s := &completionStream{task: t, lease: lease, cancel: cancel, completion: r.completion(t.item.ID), pace: streamPace{sentAt: start}}
 	resumeAfter := len(s.completion.Events)
@@ -210,6 +232,6 @@
 		if s.add(e.Data, e.Version); e.ID == firstID {
 			r.measures.Observe(measure.ItemFirstEvent, time.Since(s.pace.sentAt), r.job.Model)
 		}
-		idleTimer.Reset(eventTimeout)
+		idleTimer.Reset(waitForEvent(eventTimeout, s.task.timeouts))
 	}
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -37,6 +37,7 @@
 	tried     map[string]bool // replicas on which it failed recently
 	failures  int             // responses that reported a failure of the item
 	moves     int             // times it left a replica as a straggler
+	timeouts  int             // times a replica sent no event in time
 	startedAt time.Time       // when it was first placed
 }
 
--- a/batch/score.go
+++ b/batch/score.go
@@ -110,7 +110,7 @@
 		return "", "", false
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxScoreResponseBytes)); err != nil {
+	if err := discardComplete(resp.Body, maxScoreResponseBytes); err != nil {
 		lease.Done(r.brokenOutcome(), resp.Load, 0)
 		r.logScoreFailure(s, lease, err)
 		tried[lease.ID] = true
@@ -124,6 +124,16 @@
 	return "", lease.ID, resp.Status == http.StatusInternalServerError
 }
 
+// discardComplete reads a body of at most limit bytes to its end. A body that breaks off or is longer
+// is an error: the response does not count then.
+func discardComplete(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && n > limit {
+		return fault.New(fault.Truncated, "the response is over "+strconv.FormatInt(limit, 10)+" bytes", "try another server")
+	}
+	return err
+}
+
 // maxSlotWait bounds the wait for a free slot at a scoring server.
 const maxSlotWait = 100 * time.Millisecond
 
