--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -230,6 +230,26 @@
 	}
 }
 
+// The pool hands out a connection whose transport is closed as long as the connection does not
+// report that it is closed; the next call then fails although a new connection would work.
+func TestConnectionsReportClosedAsSoonAsAStallIsHandled(t *testing.T) {
+	for range 50 {
+		f := newFixture(t)
+		f.mustCall(t)
+		f.pool.mu.Lock()
+		conns := f.pool.open[f.proxy.Address()]
+		f.pool.mu.Unlock()
+		f.pool.handleStall(f.proxy.Address())
+		for _, c := range conns {
+			select {
+			case <-c.Closed():
+			default:
+				t.Fatal("an idle connection closed after a stall is still in the pool")
+			}
+		}
+	}
+}
+
 func TestSilentConnectionIsClosedWhenCallerDeadlineExpiresFirst(t *testing.T) {
 	f := newFixture(t)
 	f.mustCall(t)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -60,7 +60,7 @@
 	}
 	p.counts.connections.Add(1)
 	t := newTransport(netConn, p.config.ProgressTimeout, &p.counts)
-	c := &conn{Conn: drpcconn.New(t), transport: t, address: address, pool: p}
+	c := &conn{Conn: drpcconn.New(t), transport: t, address: address, pool: p, stalled: make(chan struct{})}
 	if !p.track(c) {
 		_ = c.Close()
 		return nil, fault.New(fault.Draining, "the connection pool is closed", "", fault.WithOutcome(fault.NotRun))
@@ -82,9 +82,7 @@
 func openConns(conns []*conn) []*conn {
 	var open []*conn
 	for _, c := range conns {
-		select {
-		case <-c.Closed():
-		default:
+		if !isClosed(c.Closed()) {
 			open = append(open, c)
 		}
 	}
@@ -99,9 +97,7 @@
 	conns := p.open[address]
 	p.mu.Unlock()
 	for _, c := range conns {
-		if c.inUse.Load() == 0 {
-			_ = c.transport.Close()
-		}
+		c.closeStalled(true)
 	}
 }
 
@@ -145,7 +141,7 @@
 		entry := AddressDump{Address: address}
 		for _, c := range openConns(conns) {
 			entry.Open++
-			if c.inUse.Load() > 0 {
+			if c.callsInProgress() > 0 {
 				entry.InUse++
 			}
 		}
