--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -34,6 +34,9 @@
 	// maxTriedSources is how many requests in a row may fail before this daemon watches the store
 	// itself.
 	maxTriedSources = 3
+	// startGrace is how long after its start a daemon does not do so: all instances may have started
+	// together, and those it asks are not up yet.
+	startGrace = 700 * time.Millisecond
 )
 
 // Register adds the mirror's drpc service to mux.
@@ -56,7 +59,7 @@
 		switch {
 		case isCollector && chosen[0].ID == self.ID, len(candidates) == 0, m.ageAll() > staleAllAge:
 			m.setWatching(watchAll)
-		case isCollector, m.Age() > staleAge, failures >= maxTriedSources:
+		case isCollector, m.Age() > staleAge, failures >= maxTriedSources && time.Since(m.startedAt) > startGrace:
 			m.setWatching(watchUrgent)
 		default:
 			m.setWatching(watchNothing)
