--- a/clock/clock.go
+++ b/clock/clock.go
@@ -19,6 +19,10 @@
 	return time.Duration(now.Nano())
 }
 
+// BootNow returns BootTime as a time, for code that keeps times. Only the difference of two such
+// times has a meaning.
+func BootNow() time.Time { return time.Unix(0, 0).Add(BootTime()) }
+
 // Sleep waits for d or until ctx ends.
 func Sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/weights/manager.go
+++ b/weights/manager.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"github.com/hornbeamtide/hornbeamtide/backend"
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/document"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
@@ -51,7 +52,7 @@
 type Manager struct {
 	config   Config
 	deps     Dependencies
-	now      func() time.Time
+	now      func() time.Time // counts suspensions of the instance: the lease expires in them
 	counters counters
 	orders   orderLocks
 	tickets  tickets
@@ -77,7 +78,7 @@
 	return &Manager{
 		config: config,
 		deps:   deps,
-		now:    time.Now,
+		now:    clock.BootNow,
 		newest: map[string]newestVersion{},
 		pools:  map[string]*poolController{},
 	}
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
 	"github.com/hornbeamtide/hornbeamtide/weights/weightspb"
@@ -251,3 +252,16 @@
 		t.Error(err)
 	}
 }
+
+// An instance is suspended while it holds a pool's lease, and another daemon takes the lease over.
+// The runtime's monotonic clock, which time.Now carries, stands still in a suspension: by it the
+// lease would still be valid after the resume, and both would send orders.
+func TestLeaseClockCountsSuspensions(t *testing.T) {
+	m := NewManager(Config{}, Dependencies{})
+	before := clock.BootTime()
+	now := m.now().Sub(time.Unix(0, 0))
+	after := clock.BootTime()
+	if now < before || now > after {
+		t.Errorf("the clock of the lease is at %v, want the time since boot, %v to %v", now, before, after)
+	}
+}
