--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -74,7 +74,7 @@
 
 	mu           sync.Mutex
 	kinds        map[string]*kindCopy
-	startedAt    time.Time
+	startedAt    time.Time             // when this daemon started
 	confirmed    bool                  // the copy once matched the store since the start
 	storeLostAt  time.Time             // when the store stopped responding to this daemon; zero while it responds
 	freshAt      time.Time             // when the urgent kinds last matched the store
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -34,8 +34,8 @@
 	// maxTriedSources is how many requests in a row may fail before this daemon watches the store
 	// itself.
 	maxTriedSources = 3
-	// startGrace is how long after its start a daemon does not do so: all instances may have started
-	// together, and those it asks are not up yet.
+	// startGrace is how long after its start a daemon does not watch the store for failed requests:
+	// all instances may have started together, and those it asks are not up yet.
 	startGrace = 700 * time.Millisecond
 )
 
