ratelimit: the limits that replicas name are logged and exported (observability of LIMIT)

Cause: neither logs nor metrics showed that a replica names a limit, so that the hypotheses in docs/incidents/limit.md could not be told apart. Change: the header is decoded in platform; package ratelimit, between the senders and the replicas, logs when a limit is learned and ends (events 2100, 2101) and exports it with the requests sent under it (limited_replicas). No decision changes. A header that is not a finite number counts as absent.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/ratelimit"
 	"github.com/hornbeamtide/hornbeamtide/relay"
 	"github.com/hornbeamtide/hornbeamtide/roster"
 	"github.com/hornbeamtide/hornbeamtide/waves"
@@ -73,6 +74,7 @@
 	Roster           *roster.Manager
 	Tracker          *placement.Tracker
 	ReplicaTransport *platform.ReplicaTransport
+	RateLimits       *ratelimit.Manager
 	Gateway          *gateway.Gateway
 	Batches          *batch.Manager
 	Waves            *waves.Manager
@@ -150,6 +152,7 @@
 	case c.Deleted:
 		id := c.Key[len(platform.ReplicaKind)+1:]
 		d.Tracker.Remove(id)
+		d.RateLimits.Remove(id)
 		d.log.Log(event.EdgeReplicaRemoved, event.F("replica", id), event.F("from", c.From))
 	case err != nil:
 		d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/ratelimit"
 	"github.com/hornbeamtide/hornbeamtide/relay"
 	"github.com/hornbeamtide/hornbeamtide/roster"
 	"github.com/hornbeamtide/hornbeamtide/waves"
@@ -39,17 +40,20 @@
 		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool) *relay.Store {
 			return relay.New(store, conns, d.peerAddresses, m.Source, d.log)
 		},
-		func(transport *platform.ReplicaTransport, tracker *placement.Tracker, measures *measure.Set) *gateway.Gateway {
-			return gateway.New(transport, tracker, measures, d.log)
+		func(transport *platform.ReplicaTransport) *ratelimit.Manager {
+			return ratelimit.NewManager(transport, d.log)
+		},
+		func(backend *ratelimit.Manager, tracker *placement.Tracker, measures *measure.Set) *gateway.Gateway {
+			return gateway.New(backend, tracker, measures, d.log)
 		},
 		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
 			return roster.NewManager(roster.Config{
 				Kind: platform.MemberKind, Self: s.ID, Value: d.memberEntry(), AddressOf: peerAddressOf,
 			}, roster.Dependencies{Store: store, Mirror: m, Probe: batch.Probe(conns), Log: d.log})
 		},
-		func(store *relay.Store, m *mirror.Mirror, rosterManager *roster.Manager, conns *peer.Pool, tracker *placement.Tracker, transport *platform.ReplicaTransport, measures *measure.Set) *batch.Manager {
+		func(store *relay.Store, m *mirror.Mirror, rosterManager *roster.Manager, conns *peer.Pool, tracker *placement.Tracker, backend *ratelimit.Manager, measures *measure.Set) *batch.Manager {
 			return batch.NewManager(batch.Dependencies{
-				Self: s.ID, Store: store, Mirror: m, MemberAddresses: d.members, Conns: conns, Tracker: tracker, Backend: transport,
+				Self: s.ID, Store: store, Mirror: m, MemberAddresses: d.members, Conns: conns, Tracker: tracker, Backend: backend,
 				Configuration: d.configuration.Load, ReportUnresponsive: rosterManager.ReportUnresponsive, Measures: measures, Log: d.log,
 			})
 		},
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -39,6 +39,9 @@
 	NotRun  bool   // the replica reported that it did not run the request
 	Load    *Load
 	Version int64 // weight version, 0 if none was reported
+	// RequestLimit is the number of requests per second that the replica accepts from all daemons
+	// together, 0 if it named none.
+	RequestLimit float64
 }
 
 // Load is the load that a replica reports with a response: running and waiting requests, and
