--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -25,6 +25,7 @@
 	Truncate           bool          // plain responses are cut in the middle of the body
 	Delay              time.Duration // delay before each event and before a plain response
 	LoseOrderResponses bool          // orders take effect but get no response
+	RequestLimit       float64       // named in responses: requests per second that it accepts from all daemons; 0 for none
 }
 
 // Config configures a Replica.
@@ -52,6 +53,7 @@
 	startEvents         map[string][]int64 // by request ID: for each run, the event after which it began
 	running             int
 	orderHolders        []string // Holder of each accepted order
+	arrivals            []time.Time
 }
 
 // Start starts a replica on a free loopback port.
@@ -128,6 +130,13 @@
 	return total
 }
 
+// Arrivals returns when each request arrived, whether or not it ran.
+func (r *Replica) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrivals...)
+}
+
 // RunStartEvents returns, for each run of a request, the event after which the run began. 0 is the
 // start of the stream.
 func (r *Replica) RunStartEvents(id string) []int64 {
@@ -173,6 +182,7 @@
 	id := req.Header.Get("Request-Id")
 	r.mu.Lock()
 	f, version := r.faults, r.version
+	r.arrivals = append(r.arrivals, time.Now())
 	after, _ := strconv.ParseInt(req.Header.Get("Last-Event-Id"), 10, 64) // 0 if the header is absent: from the start
 	if !f.Full {
 		r.runs[id]++
@@ -185,6 +195,9 @@
 		r.running--
 		r.mu.Unlock()
 	}()
+	if f.RequestLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(f.RequestLimit, 'f', -1, 64))
+	}
 	if f.Full {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
