--- a/batch/item.go
+++ b/batch/item.go
@@ -69,6 +69,8 @@
 	case err == nil:
 		r.score(t)
 	case r.ctx.Err() != nil:
+	case errors.Is(err, upstream.ErrRateLimited):
+		r.requeue(t)
 	case errors.Is(err, errItemFailed):
 		r.finish(t.item, Result{ID: t.item.ID, State: Errored})
 	default:
@@ -110,7 +112,7 @@
 	resp, err := r.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: t.item.ID, Method: http.MethodPost, Target: t.item.Path,
 		Host: r.job.Host, Header: t.item.Header, Body: t.item.Body,
-		ResumeAfter: int64(resumeAfter), Retryable: true,
+		ResumeAfter: int64(resumeAfter), Retryable: true, Deferrable: true,
 	})
 	if err != nil {
 		return r.recordFailure(s, err, 0)
@@ -150,14 +152,15 @@
 		s.lease.Done(placement.Inconclusive, nil, timePerEvent)
 		return errStraggler
 	}
-	s.lease.Done(r.brokenOutcome(), nil, timePerEvent)
+	s.lease.Done(r.failureOutcome(err), nil, timePerEvent)
 	return err
 }
 
-// brokenOutcome returns the outcome of a broken stream or request. After the end of the batch
-// it does not count against the replica.
-func (r *run) brokenOutcome() placement.Outcome {
-	if r.ctx.Err() != nil {
+// failureOutcome returns the outcome of a request that ended with err. It does not count against
+// the replica after the end of the batch, or if the request was not sent because of the replica's
+// request limit.
+func (r *run) failureOutcome(err error) placement.Outcome {
+	if r.ctx.Err() != nil || errors.Is(err, upstream.ErrRateLimited) {
 		return placement.Inconclusive
 	}
 	return placement.Failed
--- a/batch/observe.go
+++ b/batch/observe.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"errors"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
 
 // Outcome labels of the histograms.
@@ -56,8 +58,8 @@
 
 // logScoreFailure logs that a server returned no score.
 func (r *run) logScoreFailure(s *Scorer, lease *placement.Lease, err error) {
-	if r.ctx.Err() != nil {
-		return // expected: the batch ended
+	if r.ctx.Err() != nil || errors.Is(err, upstream.ErrRateLimited) {
+		return // expected: the batch ended, or the request was not sent
 	}
 	r.log.Log(event.BatchScoreFailed, append(lease.Choice.Fields(),
 		event.F("batch", r.job.ID), event.F("request", s.ID), event.F("replica", lease.ID), event.Err(err))...)
--- a/batch/score.go
+++ b/batch/score.go
@@ -101,17 +101,17 @@
 	start := time.Now()
 	resp, err := r.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: s.ID, Method: http.MethodPost, Target: s.Path, Host: s.Host,
-		Body: s.Body, RemainingTime: timeout, Retryable: true,
+		Body: s.Body, RemainingTime: timeout, Retryable: true, Deferrable: true,
 	})
 	if err != nil {
-		lease.Done(r.brokenOutcome(), nil, 0)
+		lease.Done(r.failureOutcome(err), nil, 0)
 		r.logScoreFailure(s, lease, err)
 		tried[lease.ID] = true
 		return "", "", false
 	}
 	defer resp.Body.Close()
 	if err := discardComplete(resp.Body, maxScoreResponseBytes); err != nil {
-		lease.Done(r.brokenOutcome(), resp.Load, 0)
+		lease.Done(r.failureOutcome(err), resp.Load, 0)
 		r.logScoreFailure(s, lease, err)
 		tried[lease.ID] = true
 		return "", "", false
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/gossip"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/peer"
@@ -75,6 +76,7 @@
 	Tracker          *placement.Tracker
 	ReplicaTransport *platform.ReplicaTransport
 	RateLimits       *ratelimit.Manager
+	Gossip           *gossip.Manager
 	Gateway          *gateway.Gateway
 	Batches          *batch.Manager
 	Waves            *waves.Manager
@@ -110,7 +112,7 @@
 		return nil, fault.Wrap(dig.RootCause(err), fault.Internal, "modules can't be built", "report this defect")
 	}
 	d.registerObservers()
-	for _, service := range []interface{ Register(mux drpc.Mux) error }{d.Mirror, d.Relay, d.Batches} {
+	for _, service := range []interface{ Register(mux drpc.Mux) error }{d.Mirror, d.Relay, d.Batches, d.RateLimits, d.Gossip} {
 		if err := service.Register(d.Server.Mux()); err != nil {
 			return nil, fault.Wrap(err, fault.Internal, "drpc services can't be registered", "report this defect")
 		}
@@ -152,7 +154,6 @@
 	case c.Deleted:
 		id := c.Key[len(platform.ReplicaKind)+1:]
 		d.Tracker.Remove(id)
-		d.RateLimits.Remove(id)
 		d.log.Log(event.EdgeReplicaRemoved, event.F("replica", id), event.F("from", c.From))
 	case err != nil:
 		d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
@@ -179,7 +180,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
 		func(ctx context.Context) error { return d.Server.Serve(ctx, d.listeners.peer) },
-		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.reportRetirements,
+		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Gossip.Run, d.reportRetirements,
 	} {
 		running.Go(func() {
 			if err := run(workCtx); err != nil && workCtx.Err() == nil {
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -6,6 +6,7 @@
 	"github.com/hornbeamtide/hornbeamtide/batch"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/gateway"
+	"github.com/hornbeamtide/hornbeamtide/gossip"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/peer"
@@ -40,8 +41,13 @@
 		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool) *relay.Store {
 			return relay.New(store, conns, d.peerAddresses, m.Source, d.log)
 		},
-		func(transport *platform.ReplicaTransport) *ratelimit.Manager {
-			return ratelimit.NewManager(transport, d.log)
+		func(transport *platform.ReplicaTransport, tracker *placement.Tracker, conns *peer.Pool) *ratelimit.Manager {
+			return ratelimit.NewManager(ratelimit.Dependencies{Self: s.ID, Members: d.members, Conns: conns, Backend: transport, Tracker: tracker, Log: d.log})
+		},
+		func(conns *peer.Pool, limits *ratelimit.Manager) *gossip.Manager {
+			g := gossip.NewManager(conns, d.peerAddresses, limits.Topic())
+			limits.OnChange(g.Notify)
+			return g
 		},
 		func(backend *ratelimit.Manager, tracker *placement.Tracker, measures *measure.Set) *gateway.Gateway {
 			return gateway.New(backend, tracker, measures, d.log)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,7 +35,7 @@
 			err = errAttemptTimeout // its outcome is unknown
 		}
 		p.countAttempt(fault.OutcomeOf(err) == fault.NotRun)
-		lease.Done(p.failureOutcome(ctx, lease.ID), nil, 0)
+		lease.Done(p.failureOutcome(ctx, lease.ID, err), nil, 0)
 		return false, err
 	}
 	defer resp.Body.Close()
@@ -76,12 +76,12 @@
 }
 
 // failureOutcome returns the outcome of an attempt without a complete response. It does not
-// count against the replica if the caller disconnected, or if requests of the route time out
-// on other replicas too.
-func (p *pendingRequest) failureOutcome(ctx context.Context, replica string) placement.Outcome {
+// count against the replica if the caller disconnected, if requests of the route time out on other
+// replicas too, or if the request was not sent because of the replica's request limit.
+func (p *pendingRequest) failureOutcome(ctx context.Context, replica string, err error) placement.Outcome {
 	attemptTimedOut := errors.Is(context.Cause(ctx), errAttemptTimeout)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && !attemptTimedOut:
+	case errors.Is(ctx.Err(), context.Canceled) && !attemptTimedOut, errors.Is(err, upstream.ErrRateLimited):
 		return placement.Inconclusive
 	case (attemptTimedOut || errors.Is(ctx.Err(), context.DeadlineExceeded)) && !p.timeouts.recordTimeout(p.route.Name, replica):
 		return placement.Inconclusive
@@ -94,7 +94,7 @@
 func (p *pendingRequest) writeResponse(ctx context.Context, w http.ResponseWriter, lease *placement.Lease, resp *upstream.Response, started time.Time) (bool, error) {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	if err != nil {
-		lease.Done(p.failureOutcome(ctx, lease.ID), resp.Load, 0)
+		lease.Done(p.failureOutcome(ctx, lease.ID, err), resp.Load, 0)
 		return false, fault.Wrap(err, fault.Truncated, "the response of replica "+lease.ID+" was truncated", "try another replica")
 	}
 	complete := len(head) < maxBufferedBody
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -123,6 +124,9 @@
 			return p.finalError()
 		}
 		lease := p.pick()
+		if lease == nil && p.awaitRequestLimit(ctx) {
+			continue
+		}
 		if lease == nil {
 			return p.finalError()
 		}
@@ -134,6 +138,10 @@
 		}
 		p.logFailedAttempt(lease, err)
 		p.lastErr = err
+		if errors.Is(err, upstream.ErrRateLimited) {
+			delete(p.tried, lease.ID) // it was not tried; the tracker picks it again once its limit allows
+			continue
+		}
 		if p.mayHaveRun && !isRetryable(p.route) {
 			return p.finalError()
 		}
@@ -183,10 +191,10 @@
 	}
 	if p.lastErr == nil {
 		return fault.New(fault.Unavailable, "no replica can accept the request", "send it again later",
-			fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(4*retryDelay))
+			fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(p.retryAfter(4*retryDelay)))
 	}
 	return fault.Wrap(p.lastErr, fault.Overloaded, "no replica accepted the request", "send it again later",
-		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(retryDelay))
+		fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(p.retryAfter(retryDelay)))
 }
 
 func orNoResponse(err error) error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -44,7 +44,7 @@
 			p.servedBy, p.status = lease.ID, resp.Status
 			return true, nil
 		case err != nil:
-			lease.Done(p.failureOutcome(ctx, lease.ID), resp.Load, 0)
+			lease.Done(p.failureOutcome(ctx, lease.ID, err), resp.Load, 0)
 			if errors.Is(ctx.Err(), context.Canceled) {
 				panic(http.ErrAbortHandler) // the caller disconnected
 			}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -97,7 +97,7 @@
 		switch {
 		case r.Service != request.Service, r.State != catalog.Ready, request.Exclude[r.ID]:
 		case request.Model != "" && r.Versions[request.Model] < request.MinVersion:
-		case t.now().Before(r.heldUntil):
+		case t.now().Before(r.heldUntil), r.isDeferred(request, t.now()):
 		default:
 			found = append(found, candidate{replica: r, load: t.currentLoad(r), slots: slotCount(r)})
 		}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -41,6 +41,8 @@
 	timePerUnit         float64       // moving average, ms; 0 if unknown
 	meanDuration        time.Duration // moving average over requests with a response; 0 if unknown
 	heldUntil           time.Time     // gets no new work until then: a load order is in progress
+	deferredUntil       time.Time     // gets no requests until then: its request limit is used up
+	waitDeferredUntil   time.Time     // gets no requests that can wait until then
 }
 
 // Tracker holds the state of the replicas of all services.
@@ -123,6 +125,55 @@
 	t.notifyWaiters()
 }
 
+// Defer places no requests on a replica for d, because the daemons have used up its request limit;
+// only none that can wait if canWait is set.
+func (t *Tracker) Defer(id string, d time.Duration, canWait bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replicas[id]
+	if r == nil {
+		return
+	}
+	r.waitDeferredUntil = t.now().Add(d)
+	if !canWait {
+		r.deferredUntil = r.waitDeferredUntil
+	}
+	time.AfterFunc(d, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.notifyWaiters()
+	})
+}
+
+// isDeferred reports whether the replica takes no such request now because of its request limit.
+func (r *replica) isDeferred(request Request, now time.Time) bool {
+	if request.RequireFreeSlot && now.Before(r.waitDeferredUntil) {
+		return true
+	}
+	return now.Before(r.deferredUntil)
+}
+
+// UntilDeferredEnd returns the time until the first replica of a service whose request limit is used
+// up takes requests again. It returns false if there is no such replica.
+func (t *Tracker) UntilDeferredEnd(service string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var first time.Time
+	for _, r := range t.replicas {
+		if r.Service == service && r.State == catalog.Ready && t.now().Before(r.deferredUntil) && (first.IsZero() || r.deferredUntil.Before(first)) {
+			first = r.deferredUntil
+		}
+	}
+	return first.Sub(t.now()), !first.IsZero()
+}
+
+// Knows reports whether a replica is listed.
+func (t *Tracker) Knows(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.replicas[id] != nil
+}
+
 // SetVersion records the weight version that a replica reported. Older versions are ignored.
 func (t *Tracker) SetVersion(id, model string, version int64) {
 	t.mu.Lock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
 // Call is one request to one replica.
@@ -25,6 +26,8 @@
 	ResumeAfter int64
 	// Retryable allows the backend to send the request again if its connection fails.
 	Retryable bool
+	// Deferrable means that the request can wait; others are sent first.
+	Deferrable bool
 }
 
 // Response is a replica's response. Body must be closed. Reading a truncated body returns an
@@ -50,6 +53,10 @@
 	Running, Waiting, Slots int
 }
 
+// ErrRateLimited means that the request was not sent, since the replica accepts only so many
+// requests per second.
+var ErrRateLimited = fault.New(fault.Overloaded, "the replica's request limit is used up", "send it again later", fault.WithOutcome(fault.NotRun))
+
 // Backend sends calls. An error has outcome fault.NotRun if no byte of the request was sent to
 // the replica; otherwise the replica may have run it.
 type Backend interface {
