--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,6 +34,7 @@
 		if errors.Is(context.Cause(ctx), errAttemptTimeout) {
 			err = errAttemptTimeout // its outcome is unknown
 		}
+		p.logBrokenConnection(lease, err, time.Since(started))
 		p.countAttempt(fault.OutcomeOf(err) == fault.NotRun)
 		lease.Done(p.failureOutcome(ctx, lease.ID, err), nil, 0)
 		return false, err
--- /dev/null
+++ b/gateway/fingerprint.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// fingerprintBytes is the length of a fingerprint before it is encoded.
+const fingerprintBytes = 16
+
+// fingerprint identifies a request that its caller repeats: it is the same for requests with the
+// same caller, method, host, target and body, whatever their IDs and headers are.
+func (r *Request) fingerprint() string {
+	hash := sha256.New()
+	for _, part := range [][]byte{[]byte(r.Caller), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		hash.Write(length[:])
+		hash.Write(part)
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 	// ResumeAfter is the ID of the last stream event that the caller received, 0 for none.
 	ResumeAfter int64
 	Model       string // required model, "" for any
+	Caller      string // address of the caller, without the port
 	AffinityKey string // key of requests that share a prompt
 }
 
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -9,6 +9,7 @@
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
 
 // Values of the outcome label of the request and attempt histograms.
@@ -31,6 +32,15 @@
 		event.F("may_have_run", p.mayHaveRun), event.F("left_ms", time.Until(p.deadline).Milliseconds()), event.Err(err))
 }
 
+// logBrokenConnection logs that the connection to a replica broke during the request.
+func (p *pendingRequest) logBrokenConnection(lease *placement.Lease, err error, after time.Duration) {
+	var broken *upstream.BrokenError
+	if errors.As(err, &broken) {
+		p.log.Log(event.GatewayConnectionBroke, event.F("request", p.request.ID), event.F("replica", lease.ID), event.F("caller", p.request.Caller),
+			event.F("fingerprint", p.request.fingerprint()), event.F("sends", broken.Sends), event.F("after_ms", after.Milliseconds()), event.Err(err))
+	}
+}
+
 // recordResult logs, counts and measures the end of a request.
 func (p *pendingRequest) recordResult(ctx context.Context, err error) {
 	duration := time.Since(p.started)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -57,6 +57,20 @@
 // requests per second.
 var ErrRateLimited = fault.New(fault.Overloaded, "the replica's request limit is used up", "send it again later", fault.WithOutcome(fault.NotRun))
 
+// BrokenError means that a connection broke after a request was written to it and before the head
+// of a response arrived. The replica may have ended.
+type BrokenError struct {
+	Sends int // number of connections to which the request was written
+	Cause error
+}
+
+func (e *BrokenError) Error() string {
+	return "connection broken after the request was sent: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
 // Backend sends calls. An error has outcome fault.NotRun if no byte of the request was sent to
 // the replica; otherwise the replica may have run it.
 type Backend interface {
