--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -25,6 +25,7 @@
 	Truncate           bool          // plain responses are cut in the middle of the body
 	Delay              time.Duration // delay before each event and before a plain response
 	LoseOrderResponses bool          // orders take effect but get no response
+	CrashBody          string        // a request with this body ends the replica; "" for none
 	RequestLimit       float64       // named in responses: requests per second that it accepts from all daemons; 0 for none
 }
 
@@ -35,6 +36,7 @@
 	FailureDomain string
 	Model         string // "" for a plain server
 	Events        int    // number of events of each completion
+	OnCrash       func() // called when a request has ended the replica, must not block; may be nil
 }
 
 // Replica is the fake backend server. Its methods are safe for concurrent use.
@@ -54,6 +56,7 @@
 	running             int
 	orderHolders        []string // Holder of each accepted order
 	arrivals            []time.Time
+	crashed             bool
 }
 
 // Start starts a replica on a free loopback port.
@@ -203,6 +206,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if f.CrashBody != "" && string(body) == f.CrashBody {
+		r.crash(f.Delay)
+	}
 	w.Header().Set("Request-Id", id)
 	if f.WrongRequestID {
 		w.Header().Set("Request-Id", "another")
@@ -221,6 +227,21 @@
 	r.serveStream(w, req, f, id, int(after), version)
 }
 
+// crash ends the replica after the given time: it breaks all connections and accepts no more.
+func (r *Replica) crash(after time.Duration) {
+	time.Sleep(after)
+	_ = r.server.Listener.Close()
+	r.server.CloseClientConnections()
+	r.mu.Lock()
+	crashed := r.crashed
+	r.crashed = true
+	r.mu.Unlock()
+	if !crashed && r.OnCrash != nil {
+		r.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (r *Replica) servePlain(w http.ResponseWriter, f Faults, body []byte) {
 	time.Sleep(f.Delay)
 	respBody := append([]byte("answer to "), body...)
