--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, tests, demos and measurements. Needs only Go and make; "make generate", which
 # regenerates the drpc code, also needs protoc.
 
-MODULES := fault event measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror gossip ratelimit relay roster placement gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
+MODULES := fault event measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror gossip quarantine ratelimit relay roster placement gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 PROTOS := $(wildcard */*pb/*.proto)
 
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/quarantine"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakereplica"
 )
 
@@ -47,6 +48,17 @@
 	return n
 }
 
+// times returns when replicas ended, since the first did.
+func (c *crashLog) times() []time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var times []time.Duration
+	for _, at := range c.crashes {
+		times = append(times, at.Sub(c.crashes[0]).Round(time.Millisecond))
+	}
+	return times
+}
+
 func (c *crashLog) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -109,3 +121,61 @@
 		return s.daemons[0].call("POST", plainPath+"x", fmt.Sprint("other-", time.Now().UnixNano()), []byte("body")).status == http.StatusOK
 	})
 }
+
+// Guards against a quarantine that is forgotten when all daemons restart.
+func TestCrashingRequestStaysQuarantinedAfterRestartOfAllDaemons(t *testing.T) {
+	t.Parallel()
+	s := newTestSystem(t, 2)
+	crashes := s.startCrashingReplicas()
+	s.sendCrashingRequests("crash", 4*time.Second) // the third crash comes 3 s after the second
+	s.eventually("the record is stored", func() bool { return len(s.store.Objects(quarantine.Kind+"/")) == 1 })
+	for _, d := range s.daemons {
+		d.kill()
+		<-d.done
+	}
+	before := crashes.count()
+	s.daemons, s.seeds = nil, ""
+	for _, id := range []string{"d1", "d2"} {
+		s.startDaemon(id)
+	}
+	for _, d := range s.daemons {
+		s.eventually("the daemons are ready", d.ready)
+	}
+	s.sendCrashingRequests("again", 2*time.Second)
+	if n := crashes.count() - before; n > 0 {
+		t.Errorf("%d replicas ended after the restart, %d before", n, before)
+	}
+}
+
+// Guards against a quarantine that other callers' requests, or other requests of the caller, get into;
+// and against the loss of the last replica of a service.
+func TestCrashingRequestLeavesServiceToOtherCallers(t *testing.T) {
+	t.Parallel()
+	s := newTestSystem(t, 3)
+	crashes := s.startCrashingReplicas()
+	var served, refused int
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.sendCrashingRequests("crash", 5*time.Second)
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			t.Logf("%d other requests served, %d refused, replicas ended at %v", served, refused, crashes.times())
+			if refused > served/20 {
+				t.Errorf("%d other requests served, %d refused", served, refused)
+			}
+			return
+		default:
+		}
+		got := s.daemons[i%3].call("POST", plainPath+"x", fmt.Sprint("other-", i), []byte(fmt.Sprint("body ", i)), "Deadline-Ms", "1500")
+		if got.status == http.StatusOK {
+			served++
+		} else {
+			refused++
+			t.Logf("request %d: status %d: %s %v; crashes %d", i, got.status, got.body, got.err, crashes.count())
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/quarantine"
 	"github.com/hornbeamtide/hornbeamtide/ratelimit"
 	"github.com/hornbeamtide/hornbeamtide/relay"
 	"github.com/hornbeamtide/hornbeamtide/roster"
@@ -42,6 +43,9 @@
 	// heapMemoryShare is the share of the process's memory that is set as Go's memory limit.
 	// The rest is for memory that the runtime does not count and for socket buffers.
 	heapMemoryShare = 0.6
+	// maxQuarantineWait is how long after its start a daemon is not ready because it does not know the
+	// quarantined requests. They matter less than a daemon that serves.
+	maxQuarantineWait = 2 * time.Second
 	// logFlushTimeout bounds the writing of queued log entries at exit.
 	logFlushTimeout = 200 * time.Millisecond
 	// stopMargin is the part of the stop time that is reserved for the steps after the
@@ -76,6 +80,7 @@
 	Tracker          *placement.Tracker
 	ReplicaTransport *platform.ReplicaTransport
 	RateLimits       *ratelimit.Manager
+	Quarantine       *quarantine.Manager
 	Gossip           *gossip.Manager
 	Gateway          *gateway.Gateway
 	Batches          *batch.Manager
@@ -124,6 +129,11 @@
 func (d *Daemon) registerObservers() {
 	d.Mirror.Observe(platform.ConfigurationKind, d.configurationChanged)
 	d.Mirror.Observe(platform.ReplicaKind, d.replicaChanged)
+	d.Mirror.Observe(quarantine.Kind, func(c mirror.Change) {
+		if !c.Deleted {
+			d.Quarantine.ApplyStored(c.Object)
+		}
+	})
 	d.Mirror.Observe(platform.VersionKind, func(c mirror.Change) {
 		if v, err := platform.DecodeModelVersion(c.Key, c.Value); err == nil && !c.Deleted {
 			d.Waves.RecordVersion(v)
@@ -166,7 +176,8 @@
 
 // ready reports whether the daemon should receive new connections.
 func (d *Daemon) ready() bool {
-	return d.configuration.Load() != nil && d.Mirror.Known(platform.ReplicaKind) && !d.draining.Load()
+	knowsQuarantine := d.Mirror.Known(quarantine.Kind) || time.Since(d.started) > maxQuarantineWait
+	return d.configuration.Load() != nil && d.Mirror.Known(platform.ReplicaKind) && knowsQuarantine && !d.draining.Load()
 }
 
 // Run serves until ctx is done, then stops: it reports itself as not ready, hands over its
@@ -180,7 +191,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
 		func(ctx context.Context) error { return d.Server.Serve(ctx, d.listeners.peer) },
-		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Gossip.Run, d.reportRetirements,
+		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Quarantine.Run, d.Gossip.Run, d.reportRetirements,
 	} {
 		running.Go(func() {
 			if err := run(workCtx); err != nil && workCtx.Err() == nil {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -29,6 +29,7 @@
 		{"batches", "batches known to this daemon, batches that it runs, items waiting in their queues and results waiting to be listed", func() any { return d.Batches.Counts() }},
 		{"weights", "orders in progress, replicas lagging behind the newest announced version, and whether this daemon holds the lease", func() any { return d.Waves.Counts() }},
 		{"limited_replicas", "replicas that name a request limit: requests per second that they accept from all daemons together, and requests of this daemon since the limit was learned", func() any { return d.RateLimits.Limited() }},
+		{"quarantined_requests", "requests that no daemon sends to replicas, since replicas crashed under them", func() any { return d.Quarantine.Quarantined() }},
 		{"configuration_version", "version in force; 0 while none is", func() any {
 			if c := d.configuration.Load(); c != nil {
 				return c.Version
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
+	"github.com/hornbeamtide/hornbeamtide/quarantine"
 	"github.com/hornbeamtide/hornbeamtide/ratelimit"
 	"github.com/hornbeamtide/hornbeamtide/relay"
 	"github.com/hornbeamtide/hornbeamtide/roster"
@@ -44,13 +45,17 @@
 		func(transport *platform.ReplicaTransport, tracker *placement.Tracker, conns *peer.Pool) *ratelimit.Manager {
 			return ratelimit.NewManager(ratelimit.Dependencies{Self: s.ID, Members: d.members, Conns: conns, Backend: transport, Tracker: tracker, Log: d.log})
 		},
-		func(conns *peer.Pool, limits *ratelimit.Manager) *gossip.Manager {
-			g := gossip.NewManager(conns, d.peerAddresses, limits.Topic())
+		func(store *relay.Store, m *mirror.Mirror, transport *platform.ReplicaTransport) *quarantine.Manager {
+			return quarantine.NewManager(quarantine.Dependencies{Store: store, Mirror: m, Members: d.members, Accepts: transport.Accepts, Log: d.log})
+		},
+		func(conns *peer.Pool, limits *ratelimit.Manager, guard *quarantine.Manager) *gossip.Manager {
+			g := gossip.NewManager(conns, d.peerAddresses, limits.Topic(), guard.Topic())
 			limits.OnChange(g.Notify)
+			guard.OnChange(g.Notify)
 			return g
 		},
-		func(backend *ratelimit.Manager, tracker *placement.Tracker, measures *measure.Set) *gateway.Gateway {
-			return gateway.New(backend, tracker, measures, d.log)
+		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, measures *measure.Set) *gateway.Gateway {
+			return gateway.New(backend, tracker, guard, measures, d.log)
 		},
 		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
 			return roster.NewManager(roster.Config{
@@ -92,5 +97,6 @@
 		{Name: platform.MemberKind, MaxWatchWait: slowWatchWait},
 		{Name: batch.KindBatches, MaxWatchWait: slowWatchWait},
 		{Name: batch.KindBatchEnds, MaxWatchWait: versionWatchWait},
+		{Name: quarantine.Kind, MaxWatchWait: slowWatchWait},
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,7 @@
 			err = errAttemptTimeout // its outcome is unknown
 		}
 		p.logBrokenConnection(lease, err, time.Since(started))
+		p.recordBreak(lease, err)
 		p.countAttempt(fault.OutcomeOf(err) == fault.NotRun)
 		lease.Done(p.failureOutcome(ctx, lease.ID, err), nil, 0)
 		return false, err
@@ -99,6 +100,7 @@
 		return false, fault.Wrap(err, fault.Truncated, "the response of replica "+lease.ID+" was truncated", "try another replica")
 	}
 	complete := len(head) < maxBufferedBody
+	p.recordSurvival()
 	if complete && p.shouldRetry(resp) {
 		lease.Done(placement.Answered, resp.Load, 0)
 		return false, fault.New(fault.Unavailable, "replica "+lease.ID+" failed with status "+strconv.Itoa(resp.Status), "try another replica")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,14 +50,31 @@
 	tracker  *placement.Tracker
 	measures *measure.Set
 	log      *event.Logger
+	guard    Guard
 	timeouts *timeoutTracker
 	budget   *retryBudget
 	counts   counters
 }
 
+// Guard keeps requests that crash replicas away from them. Requests with the same fingerprint are the
+// same request.
+type Guard interface {
+	// IsIdle reports whether Check allows all requests.
+	IsIdle() bool
+	// Check returns an error, with outcome fault.NotRun, if the request may not be sent to a replica now.
+	// healthy are the healthy replicas of its service that it has not been sent to, listed is the number
+	// of all.
+	Check(fingerprint string, healthy []catalog.Replica, listed int) error
+	// RecordBreak records that the connection to a replica broke while the request was in flight there,
+	// so that the replica may have ended. It may take some milliseconds to find out.
+	RecordBreak(fingerprint string, replica catalog.Replica)
+	// RecordResponse records that a replica responded to the request.
+	RecordResponse(fingerprint string)
+}
+
 // New returns a gateway.
-func New(backend upstream.Backend, tracker *placement.Tracker, measures *measure.Set, log *event.Logger) *Gateway {
-	return &Gateway{backend: backend, tracker: tracker, measures: measures, log: log, timeouts: newTimeoutTracker(), budget: newRetryBudget()}
+func New(backend upstream.Backend, tracker *placement.Tracker, guard Guard, measures *measure.Set, log *event.Logger) *Gateway {
+	return &Gateway{backend: backend, tracker: tracker, guard: guard, measures: measures, log: log, timeouts: newTimeoutTracker(), budget: newRetryBudget()}
 }
 
 // pendingRequest is the state of a request that is being forwarded.
@@ -74,6 +91,8 @@
 	lastErr    error  // error of the last failed attempt
 	servedBy   string // ID of the replica that responded
 	status     int    // HTTP status of the response
+
+	computedFingerprint string // "" until it is needed
 }
 
 // Deadline returns the deadline for the response of a replica: the earlier of the caller's
@@ -124,6 +143,9 @@
 		if p.sentCount >= p.route.MaxAttempts {
 			return p.finalError()
 		}
+		if err := p.checkGuard(); err != nil {
+			return p.guardError(err)
+		}
 		lease := p.pick()
 		if lease == nil && p.awaitRequestLimit(ctx) {
 			continue
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,7 +54,7 @@
 
 func TestShortRouteTimeoutDoesNotMakeReplicasUnhealthy(t *testing.T) {
 	tracker := testTracker(3)
-	g := New(silentBackend(func(call upstream.Call) bool { return call.Target == "/slow" }), tracker, nil, nil)
+	g := New(silentBackend(func(call upstream.Call) bool { return call.Target == "/slow" }), tracker, noGuard{}, nil, nil)
 	for n := range 9 {
 		if err := g.Forward(t.Context(), httptest.NewRecorder(), testRoute("slow"), Request{ID: fmt.Sprint(n), Target: "/slow"}); !fault.Is(err, fault.Deadline) {
 			t.Fatalf("error %v", err)
@@ -70,7 +70,7 @@
 
 func TestUnresponsiveReplicaBecomesUnhealthyAfterTimeouts(t *testing.T) {
 	tracker := testTracker(3)
-	g := New(silentBackend(func(call upstream.Call) bool { return call.Replica.ID == "r1" }), tracker, nil, nil)
+	g := New(silentBackend(func(call upstream.Call) bool { return call.Replica.ID == "r1" }), tracker, noGuard{}, nil, nil)
 	for n := range 12 {
 		_ = g.Forward(t.Context(), httptest.NewRecorder(), testRoute("records"), Request{ID: fmt.Sprint(n), Target: "/x", AffinityKey: fmt.Sprint(n)}) // some calls fail
 	}
@@ -122,7 +122,7 @@
 	for _, row := range table {
 		route := testRoute("records")
 		route.Timeout = time.Second
-		err := New(&row.calls, testTracker(3), nil, nil).Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: "r"})
+		err := New(&row.calls, testTracker(3), noGuard{}, nil, nil).Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: "r"})
 		if got := fault.OutcomeOf(err) == fault.NotRun; got != row.want {
 			t.Errorf("%s: not run %v, error %v", row.name, got, err)
 		}
@@ -154,7 +154,7 @@
 			}}
 			route := testRoute("chat")
 			route.Kind, route.Timeout = catalog.Streaming, time.Second
-			if got := forwardCompletes(New(&backend, testTracker(1), nil, nil), route); got != row.complete {
+			if got := forwardCompletes(New(&backend, testTracker(1), noGuard{}, nil, nil), route); got != row.complete {
 				t.Errorf("%s in reads of %d bytes: complete %t", row.name, chunk, got)
 			}
 		}
@@ -203,7 +203,7 @@
 		route := testRoute("records")
 		route.Kind, route.Timeout = row.kind, time.Second
 		callsUntilStuck := 0
-		g := New(silentBackend(func(upstream.Call) bool { callsUntilStuck--; return callsUntilStuck == 0 }), tracker, nil, nil)
+		g := New(silentBackend(func(upstream.Call) bool { callsUntilStuck--; return callsUntilStuck == 0 }), tracker, noGuard{}, nil, nil)
 		for n := range 30 { // makes the usual duration known
 			if err := g.Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: fmt.Sprint(n)}); err != nil {
 				t.Fatal(err)
@@ -255,7 +255,7 @@
 	tracker := testTracker(3)
 	for range 3 {
 		p := &pendingRequest{
-			Gateway: New(silentBackend(nil), tracker, nil, nil), route: route,
+			Gateway: New(silentBackend(nil), tracker, noGuard{}, nil, nil), route: route,
 			deadline: time.Now().Add(time.Second), tried: map[string]bool{},
 		}
 		tracker.Pick(p.placementRequest()).Done(placement.Answered, nil, time.Millisecond)
@@ -266,3 +266,11 @@
 		stop()
 	}
 }
+
+// noGuard allows all requests.
+type noGuard struct{}
+
+func (noGuard) IsIdle() bool                               { return true }
+func (noGuard) Check(string, []catalog.Replica, int) error { return nil }
+func (noGuard) RecordBreak(string, catalog.Replica)        {}
+func (noGuard) RecordResponse(string)                      {}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -37,7 +37,7 @@
 	var broken *upstream.BrokenError
 	if errors.As(err, &broken) {
 		p.log.Log(event.GatewayConnectionBroke, event.F("request", p.request.ID), event.F("replica", lease.ID), event.F("caller", p.request.Caller),
-			event.F("fingerprint", p.request.fingerprint()), event.F("sends", broken.Sends), event.F("after_ms", after.Milliseconds()), event.Err(err))
+			event.F("fingerprint", p.fingerprint()), event.F("sends", broken.Sends), event.F("after_ms", after.Milliseconds()), event.Err(err))
 	}
 }
 
--- a/gateway/request_limit_test.go
+++ b/gateway/request_limit_test.go
@@ -41,7 +41,7 @@
 // take it, and against one that is told to come back before its turn.
 func TestRequestOverLimitsIsRefusedAtOnceWithTimeOfItsTurn(t *testing.T) {
 	tracker := testTracker(3)
-	g := New(silentBackend(func(upstream.Call) bool { return false }), tracker, nil, nil)
+	g := New(silentBackend(func(upstream.Call) bool { return false }), tracker, noGuard{}, nil, nil)
 	deferAll(tracker, 2*time.Second)
 	route := testRoute("r")
 	route.Timeout, route.TargetLatency = 5*time.Second, 200*time.Millisecond
@@ -57,7 +57,7 @@
 
 func TestRequestWaitsForTurnThatIsNear(t *testing.T) {
 	tracker := testTracker(3)
-	g := New(silentBackend(func(upstream.Call) bool { return false }), tracker, nil, nil)
+	g := New(silentBackend(func(upstream.Call) bool { return false }), tracker, noGuard{}, nil, nil)
 	deferAll(tracker, 30*time.Millisecond)
 	route := testRoute("r")
 	route.Timeout, route.TargetLatency = 5*time.Second, 300*time.Millisecond
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,6 +41,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			lease.Done(placement.Answered, resp.Load, 0)
+			p.recordSurvival()
 			p.servedBy, p.status = lease.ID, resp.Status
 			return true, nil
 		case err != nil:
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -56,6 +56,22 @@
 	return t.filter(request).choice
 }
 
+// Healthy returns the replicas that may run the request and had no recent failure, and the number of
+// replicas of its service.
+func (t *Tracker) Healthy(request Request) (healthy []catalog.Replica, listed int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range filterCandidates(t.eligibleReplicas(request), t.isHealthy) {
+		healthy = append(healthy, c.Replica)
+	}
+	for _, r := range t.replicas {
+		if r.Service == request.Service {
+			listed++
+		}
+	}
+	return healthy, listed
+}
+
 // filterResult is the outcome of the filters for one request.
 type filterResult struct {
 	candidates []candidate // left after the last filter
