--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -96,11 +97,19 @@
 	replica.SetFaults(fakereplica.Faults{CrashBody: crashBody, Delay: crashDuration})
 }
 
-// sendCrashingRequests sends the same request through all daemons in turn for d.
+// clientFrom returns a client whose connections come from the given loopback address.
+func clientFrom(address string) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	return &http.Client{Timeout: testTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+}
+
+// sendCrashingRequests sends the same request through all daemons in turn for d, each time from another
+// address, as a caller with instances in several failure domains does.
 func (s *testSystem) sendCrashingRequests(name string, d time.Duration) {
 	start := time.Now()
 	for i := 0; time.Since(start) < d; i++ {
-		daemon := s.daemons[i%len(s.daemons)]
+		daemon := *s.daemons[i%len(s.daemons)]
+		daemon.client = clientFrom(fmt.Sprint("127.0.0.", 2+i%5))
 		daemon.call("POST", plainPath+"x", fmt.Sprintf("%s-%d", name, i), []byte(crashBody), "Deadline-Ms", "1500")
 		time.Sleep(200 * time.Millisecond)
 	}
