--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -9,11 +9,12 @@
 // fingerprintBytes is the length of a fingerprint before it is encoded.
 const fingerprintBytes = 16
 
-// fingerprint identifies a request that its caller repeats: it is the same for requests with the
-// same caller, method, host, target and body, whatever their IDs and headers are.
+// fingerprint identifies a request that is repeated: it is the same for requests with the same method,
+// host, target and body, whatever their IDs and headers are. The address of the connection is no part
+// of it, since a caller may have instances in several failure domains.
 func (r *Request) fingerprint() string {
 	hash := sha256.New()
-	for _, part := range [][]byte{[]byte(r.Caller), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		hash.Write(length[:])
