--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,8 +59,10 @@
 // Guard keeps requests that crash replicas away from them. Requests with the same fingerprint are the
 // same request.
 type Guard interface {
-	// IsIdle reports whether Check allows all requests.
+	// IsIdle reports whether no request is suspected.
 	IsIdle() bool
+	// IsSuspected reports whether Check may refuse the request.
+	IsSuspected(fingerprint string) bool
 	// Check returns an error, with outcome fault.NotRun, if the request may not be sent to a replica now.
 	// healthy are the healthy replicas of its service that it has not been sent to, listed is the number
 	// of all.
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -20,7 +20,7 @@
 // checkGuard returns an error if the request may not be sent to a replica because replicas crashed
 // under it.
 func (p *pendingRequest) checkGuard() error {
-	if p.guard.IsIdle() {
+	if p.guard.IsIdle() || !p.guard.IsSuspected(p.fingerprint()) {
 		return nil
 	}
 	healthy, listed := p.tracker.Healthy(p.placementRequest())
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -84,9 +84,15 @@
 // served.
 func (m *Manager) OnChange(notify func()) { m.notify = notify }
 
-// IsIdle reports whether no request is under suspicion, so that Check allows all.
+// IsIdle reports whether no request is suspected, so that Check allows all.
 func (m *Manager) IsIdle() bool { return m.records.isEmpty() }
 
+// IsSuspected reports whether a replica crashed under the request and none has responded to it since.
+func (m *Manager) IsSuspected(fingerprint string) bool {
+	crashes, _, _ := m.records.crashes(fingerprint, nil)
+	return crashes > 0
+}
+
 // Quarantined returns the number of quarantined requests.
 func (m *Manager) Quarantined() int { return m.records.quarantinedCount() }
 
