ratelimit: a misdirected response shows no limit of the replica that was called

Cause: found on reading: a replica at the address of one that is gone answers 421 with its own limit, which was recorded for the one that was called. It was never in force for long: the ID is gone soon after. Test: TestLimitOfOtherReplicaAtSameAddressIsIgnored.

--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -286,3 +287,16 @@
 		t.Errorf("%d limits, %d turns, %d buckets and %d suspects are left", len(m.limits.limits), len(m.turns.byKey), len(m.buckets.byKey), len(m.keepers.suspects))
 	}
 }
+
+// Another replica that got the address of one that is gone responds with status 421 and its own limit.
+func TestLimitOfOtherReplicaAtSameAddressIsIgnored(t *testing.T) {
+	if showsLimit(&upstream.Response{Status: http.StatusMisdirectedRequest, NotRun: true, RequestLimit: 5}) {
+		t.Error("the limit of a misdirected response counts")
+	}
+	if !showsLimit(&upstream.Response{Status: http.StatusServiceUnavailable, NotRun: true, RequestLimit: 5}) {
+		t.Error("the limit of a full replica does not count")
+	}
+	if showsLimit(&upstream.Response{Status: http.StatusOK}) {
+		t.Error("an unsigned response without a limit ends the limit")
+	}
+}
--- a/ratelimit/manager.go
+++ b/ratelimit/manager.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
@@ -104,13 +105,21 @@
 	}
 	sentAt := m.now()
 	resp, err := m.Backend.Send(ctx, call)
-	if err == nil && (resp.Signed || resp.RequestLimit > 0) &&
-		m.limits.recordResponse(call.Replica.ID, call.Replica.StartedMs, resp.RequestLimit, sentAt) {
+	if err == nil && showsLimit(resp) && m.limits.recordResponse(call.Replica.ID, call.Replica.StartedMs, resp.RequestLimit, sentAt) {
 		m.notify()
 	}
 	return resp, err
 }
 
+// showsLimit reports whether a response shows the limit of the replica that was called, or that it names
+// none: another replica that got its address may respond, and a faulty one may send anything unsigned.
+func showsLimit(resp *upstream.Response) bool {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return false
+	}
+	return resp.Signed || resp.RequestLimit > 0
+}
+
 // Events implements upstream.Backend.
 func (m *Manager) Events(resp *upstream.Response) upstream.EventReader { return m.Backend.Events(resp) }
 
