quarantine: records that another version wrote are not deleted

Cause: found on reading: a stored record that can't be read counted as expired. In a rolling update of the format an old daemon would have deleted the new daemons' records.

--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -224,8 +224,8 @@
 	}
 	for _, o := range m.Mirror.Objects(Kind) {
 		message := &quarantinepb.Record{}
-		if proto.Unmarshal(o.Value, message) == nil && m.wallTime().Sub(time.UnixMilli(message.WrittenMs)) <= recordLifetime {
-			continue
+		if proto.Unmarshal(o.Value, message) != nil || m.wallTime().Sub(time.UnixMilli(message.WrittenMs)) <= recordLifetime {
+			continue // not expired, or written by another version
 		}
 		_ = m.Store.Delete(ctx, o.Key, o.Version) // another daemon or the next round deletes it
 	}
