relay: a call without time left fails instead of ending the process

Cause: while the store counts as unreachable, a call whose context ended before any peer was tried returned a nil response and a nil error (relay.call); callObject read it. Ruled out: gossip, permits and quarantine, which are not in the stack. Change: the call fails with an error that says that the store was not called. Test: TestCallWithoutTimeLeftInOutageFails panicked before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -117,6 +117,9 @@
 			return resp, err
 		}
 	}
+	if lastErr == nil { // the caller's time ended before anything was tried
+		return nil, fault.Wrap(ctx.Err(), fault.Unavailable, "the store was not called", "allow more time", fault.WithOutcome(fault.NotRun))
+	}
 	if ambiguous && !fault.Is(lastErr, fault.Ambiguous) {
 		return nil, fault.Wrap(lastErr, fault.Ambiguous, "a write may have taken effect", "read the object back and compare before writing again")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -118,3 +118,27 @@
 		t.Errorf("error %v; the unresponsive peer is not avoided after the peer call timeout", err)
 	}
 }
+
+// Guards against a process that ends because a call, whose time was over before anything was tried,
+// returned neither a response nor an error (hunt-5844-39 of vergara-badges, sweep of the large site).
+func TestCallWithoutTimeLeftInOutageFails(t *testing.T) {
+	s, faults, _ := newDaemon(t, memstore.New(), func() []string { return nil })
+	faults.SetFaults(memstore.Faults{Outage: true})
+	if _, err := s.Get(t.Context(), "a/b"); !fault.Is(err, fault.Unavailable) {
+		t.Fatalf("error %v, want the outage", err)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	calls := map[string]func() error{
+		"get":    func() error { _, err := s.Get(ended, "a/b"); return err },
+		"list":   func() error { _, err := s.List(ended, "a/"); return err },
+		"create": func() error { _, err := s.Create(ended, "a/b", nil); return err },
+		"update": func() error { _, err := s.Update(ended, "a/b", nil, 1); return err },
+		"delete": func() error { return s.Delete(ended, "a/b", 1) },
+	}
+	for name, call := range calls {
+		if err := call(); !fault.Is(err, fault.Unavailable) {
+			t.Errorf("%s: error %v, want one that says that the call had no effect", name, err)
+		}
+	}
+}
