--- a/edge/request_limit_test.go
+++ b/edge/request_limit_test.go
@@ -80,3 +80,57 @@
 		t.Error("no request was served")
 	}
 }
+
+// Guards against items that fail, or replicas that count as faulty, because requests wait for a limit.
+func TestBatchCompletesWhileReplicasNameLimits(t *testing.T) {
+	t.Parallel()
+	const limit = 3.0
+	s := newTestSystem(t, 2)
+	for _, replica := range append(s.plainReplicas, s.modelReplicas...) {
+		replica.SetFaults(fakereplica.Faults{RequestLimit: limit})
+	}
+	start := time.Now()
+	body, ids := batchBody(15, 1) // 30 items and scores; without permits all of them are sent at once
+	if got := s.daemons[0].call("POST", itemPath+"x", "lot-limited", body); got.status != http.StatusAccepted {
+		t.Fatalf("batch: %+v", got)
+	}
+	s.checkComplete(s.readAll(s.daemons[1], "lot-limited"), ids)
+	allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
+	for _, replica := range append(s.plainReplicas, s.modelReplicas...) {
+		if most := maxArrivals(replica.Arrivals(), start.Add(limitContactTime)); most > allowed {
+			t.Errorf("replica %s got %d requests in %v, allowed %d", replica.ID, most, limitWindow, allowed)
+		}
+	}
+}
+
+// Guards against daemons that send without a limit once the keeper of a limit has ended. One of three
+// daemons ends; the limits of three replicas are spread over them.
+func TestFleetKeepsToRequestLimitWhenDaemonEnds(t *testing.T) {
+	t.Parallel()
+	const limit = 4.0
+	s := newTestSystem(t, 3)
+	for _, replica := range s.plainReplicas {
+		replica.SetFaults(fakereplica.Faults{RequestLimit: limit})
+	}
+	start := time.Now()
+	var restarts sync.WaitGroup
+	defer restarts.Wait()
+	victim, others := s.daemons[2], s.daemons[:2]
+	restarts.Go(func() {
+		time.Sleep(limitContactTime + time.Second)
+		victim.kill()
+		<-victim.done
+	})
+	s.daemons = others
+	statuses := s.sendRequests(100*time.Millisecond, limitContactTime+2*limitWindow)
+	allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
+	for _, replica := range s.plainReplicas {
+		if most := maxArrivals(replica.Arrivals(), start.Add(limitContactTime)); most > allowed {
+			t.Errorf("replica %s got %d requests in %v, allowed %d", replica.ID, most, limitWindow, allowed)
+		}
+	}
+	t.Logf("responses by status: %v", statuses)
+	if statuses[http.StatusOK] < 40 {
+		t.Errorf("only %d requests were served in %v", statuses[http.StatusOK], limitContactTime+2*limitWindow)
+	}
+}
