ratelimit: the daemon that gives out permits is the owner of a limit

Cause: "keeper" was replaced by "owner" everywhere else in the product; a newcomer would look for a second concept.

--- a/edge/request_limit_test.go
+++ b/edge/request_limit_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// Guards against daemons that send without a limit once the keeper of a limit has ended. One of three
+// Guards against daemons that send without a limit once the owner of a limit has ended. One of three
 // daemons ends; the limits of three replicas are spread over them.
 func TestFleetKeepsToRequestLimitWhenDaemonEnds(t *testing.T) {
 	t.Parallel()
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -22,7 +22,7 @@
 	maxReplicas = 8192
 )
 
-// rankShares are the shares of a limit that its keeper gives out, and those that the next keepers
+// rankShares are the shares of a limit that its owner gives out, and those that the next owners
 // give out to daemons that can't reach the ones before. While daemons disagree on who can be
 // reached, several give out permits for the same limit; together the shares stay below what the
 // rule allows.
@@ -41,7 +41,7 @@
 func (b *bucket) take(now time.Time, rate float64, deferrable bool) (bool, time.Duration) {
 	capacity := max(minBurst+rate*burstTime.Seconds()-1, minBurst)
 	if b.updated.IsZero() {
-		b.tokens = min(rate, 1) // a keeper that has just started does not know what was given out before
+		b.tokens = min(rate, 1) // an owner that has just started does not know what was given out before
 		b.nextTurn = map[bool]time.Time{}
 	} else {
 		b.tokens = min(b.tokens+rate*max(now.Sub(b.updated), 0).Seconds(), capacity)
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -116,15 +116,15 @@
 // Knows implements Tracker.
 func (d *testDaemon) Knows(string) bool { return true }
 
-// keeper returns the index of the keeper of the given rank.
-func (f *testFleet) keeper(rank int) int {
-	id := keeperOrder(f.members(), testReplica.ID)[rank].id
+// owner returns the index of the owner of the given rank.
+func (f *testFleet) owner(rank int) int {
+	id := ownerOrder(f.members(), testReplica.ID)[rank].id
 	for i := range f.daemons {
 		if address(i) == id {
 			return i
 		}
 	}
-	panic("the keeper is no daemon")
+	panic("the owner is no daemon")
 }
 
 // run lets each daemon send at the given mean rate per second for a time. Requests whose replica is
@@ -190,17 +190,17 @@
 		name  string
 		fault func(f *testFleet, elapsed time.Duration)
 	}{
-		{"keepers restart in turn", func(f *testFleet, elapsed time.Duration) {
+		{"owners restart in turn", func(f *testFleet, elapsed time.Duration) {
 			if elapsed%time.Second == 0 {
-				f.daemons[f.keeper(int(elapsed/time.Second)%2)].start()
+				f.daemons[f.owner(int(elapsed/time.Second)%2)].start()
 			}
 		}},
-		{"keeper isolated", func(f *testFleet, elapsed time.Duration) {
-			first := f.keeper(0)
+		{"owner isolated", func(f *testFleet, elapsed time.Duration) {
+			first := f.owner(0)
 			f.separated = func(a, b int) bool { return a != b && (a == first || b == first) }
 		}},
-		{"half of the fleet does not reach the keeper", func(f *testFleet, elapsed time.Duration) {
-			first := f.keeper(0)
+		{"half of the fleet does not reach the owner", func(f *testFleet, elapsed time.Duration) {
+			first := f.owner(0)
 			f.separated = func(a, b int) bool { return a%2 == 1 && b == first && a != first }
 		}},
 		{"two halves for some seconds", func(f *testFleet, elapsed time.Duration) {
@@ -276,15 +276,15 @@
 		m.limits.recordResponse(id, 1, 5, now)
 		m.turns.lock(turnKey{id, false}).asking.Unlock()
 		m.buckets.take(bucketKey{id, 1, 0}, now, 5, false)
-		m.keepers.recordResult(id, false, now)
+		m.owners.recordResult(id, false, now)
 	}
 	now = now.Add(time.Hour)
 	m.limits.retain(func(id string) bool { return id == "r1" })
 	m.turns.retain(func(id string) bool { return id == "r1" })
 	m.buckets.removeIdle(now)
-	m.keepers.removeOld(now)
-	if len(m.limits.limits) != 1 || len(m.turns.byKey) != 1 || len(m.buckets.byKey) != 0 || len(m.keepers.suspects) != 0 {
-		t.Errorf("%d limits, %d turns, %d buckets and %d suspects are left", len(m.limits.limits), len(m.turns.byKey), len(m.buckets.byKey), len(m.keepers.suspects))
+	m.owners.removeOld(now)
+	if len(m.limits.limits) != 1 || len(m.turns.byKey) != 1 || len(m.buckets.byKey) != 0 || len(m.owners.suspects) != 0 {
+		t.Errorf("%d limits, %d turns, %d buckets and %d suspects are left", len(m.limits.limits), len(m.turns.byKey), len(m.buckets.byKey), len(m.owners.suspects))
 	}
 }
 
--- a/ratelimit/manager.go
+++ b/ratelimit/manager.go
@@ -1,7 +1,7 @@
 // Package ratelimit keeps the requests of all daemons together within the request limits that
 // replicas in need name in their responses. All daemons learn of a limit by gossip. For each
-// replica one daemon, the keeper of its limit, gives out permits; before a daemon sends a request
-// to a replica that names a limit, it asks the keeper. Nothing is kept in the store.
+// replica one daemon, the owner of its limit, gives out permits; before a daemon sends a request
+// to a replica that names a limit, it asks the owner. Nothing is kept in the store.
 package ratelimit
 
 import (
@@ -20,12 +20,12 @@
 )
 
 const (
-	// permitTimeout bounds one call to a keeper. A caller waits for it.
+	// permitTimeout bounds one call to an owner. A caller waits for it.
 	permitTimeout = 150 * time.Millisecond
 	// cleanupInterval is the time between two deletions of state that is not needed any more.
 	cleanupInterval = 10 * time.Second
 	// isolatedShare is the share of a limit that all daemons together use if none of them reaches a
-	// keeper.
+	// owner.
 	isolatedShare = 0.1
 )
 
@@ -54,7 +54,7 @@
 	now     func() time.Time
 	ask     func(ctx context.Context, address string, request *ratelimitpb.PermitRequest) (*ratelimitpb.PermitAnswer, error)
 	limits  *registry
-	keepers *keeperCache
+	owners  *ownerCache
 	buckets buckets
 	turns   turns
 	notify  func() // causes the limits to be pushed to other daemons
@@ -63,10 +63,10 @@
 // NewManager returns a Manager.
 func NewManager(deps Dependencies) *Manager {
 	m := &Manager{
-		Dependencies: deps, now: clock.BootNow, limits: newRegistry(clock.BootNow, deps.Log), keepers: newKeeperCache(deps.Members),
+		Dependencies: deps, now: clock.BootNow, limits: newRegistry(clock.BootNow, deps.Log), owners: newOwnerCache(deps.Members),
 		buckets: buckets{byKey: map[bucketKey]*bucket{}}, turns: turns{byKey: map[turnKey]*turn{}}, notify: func() {},
 	}
-	m.ask = m.callKeeper
+	m.ask = m.callOwner
 	return m
 }
 
@@ -83,7 +83,7 @@
 		m.limits.retain(m.Tracker.Knows)
 		m.turns.retain(m.Tracker.Knows)
 		m.buckets.removeIdle(m.now())
-		m.keepers.removeOld(m.now())
+		m.owners.removeOld(m.now())
 	}
 	return nil
 }
@@ -138,18 +138,18 @@
 	return wait, granted
 }
 
-// acquire asks the keepers of a replica's limit for a permit, the next one if one does not respond.
+// acquire asks the owners of a replica's limit for a permit, the next one if one does not respond.
 // A daemon that reaches none uses its equal part of isolatedShare of the limit. Without a permit
 // it returns the time until this daemon's turn.
 func (m *Manager) acquire(ctx context.Context, replica catalog.Replica, deferrable bool) (time.Duration, bool) {
-	keepers, daemons := m.keepers.of(replica.ID, m.now())
-	for _, k := range keepers {
-		if k.id == m.Self {
-			return m.permit(replica.ID, replica.StartedMs, k.rank, deferrable)
+	owners, daemons := m.owners.of(replica.ID, m.now())
+	for _, o := range owners {
+		if o.id == m.Self {
+			return m.permit(replica.ID, replica.StartedMs, o.rank, deferrable)
 		}
-		resp, err := m.ask(ctx, k.address, &ratelimitpb.PermitRequest{Limit: m.limits.encode(replica.ID), Rank: int32(k.rank), Deferrable: deferrable})
+		resp, err := m.ask(ctx, o.address, &ratelimitpb.PermitRequest{Limit: m.limits.encode(replica.ID), Rank: int32(o.rank), Deferrable: deferrable})
 		if ctx.Err() == nil || err == nil {
-			m.keepers.recordResult(k.address, err == nil, m.now())
+			m.owners.recordResult(o.address, err == nil, m.now())
 		}
 		if err != nil {
 			continue
--- a/ratelimit/service.go
+++ b/ratelimit/service.go
@@ -14,8 +14,8 @@
 	return ratelimitpb.DRPCRegisterRateLimit(mux, service{m})
 }
 
-// callKeeper asks the keeper at an address for a permit.
-func (m *Manager) callKeeper(ctx context.Context, address string, request *ratelimitpb.PermitRequest) (*ratelimitpb.PermitAnswer, error) {
+// callOwner asks the owner at an address for a permit.
+func (m *Manager) callOwner(ctx context.Context, address string, request *ratelimitpb.PermitRequest) (*ratelimitpb.PermitAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	conn, err := m.Conns.Conn(ctx, address)
--- a/ratelimit/turns.go
+++ b/ratelimit/turns.go
@@ -14,11 +14,11 @@
 
 // turn is when this daemon may next ask for a permit.
 type turn struct {
-	asking sync.Mutex // held while the keeper is asked
+	asking sync.Mutex // held while the owner is asked
 	at     time.Time  // guarded by asking
 }
 
-// turns holds the turns that keepers gave to this daemon. Load pattern: a step has many more items
+// turns holds the turns that owners gave to this daemon. Load pattern: a step has many more items
 // than a replica's limit allows, and all are placed at once. If each of them asked for a permit,
 // each would get a turn after those of the others, and the daemon would stay away until the last.
 type turns struct {
