ratelimit: a replica whose limit has ended is used again at once

Cause: found on reading: a daemon that was given a turn left the replica alone until then, up to ten seconds, although it had learned that the limit had ended. Change: the end of a limit ends the turns and the deferral.

--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -126,7 +126,7 @@
 }
 
 // Defer places no requests on a replica for d, because the daemons have used up its request limit;
-// only none that can wait if canWait is set.
+// only none that can wait if canWait is set. A d of 0 ends an earlier deferral.
 func (t *Tracker) Defer(id string, d time.Duration, canWait bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -230,10 +230,21 @@
 	f := newTestFleet(t, 250, 0.1)
 	f.run(10*time.Second, 0.2, func() {})
 	f.limit = 0
-	f.run(10*time.Second, 0.2, func() {})
+	limitedDaemons := func() int {
+		n := 0
+		for _, d := range f.daemons {
+			n += len(d.Limited())
+		}
+		return n
+	}
+	for end := f.now.Add(10 * time.Second); limitedDaemons() > 0; f.run(10*time.Millisecond, 0.2, func() {}) {
+		if f.now.After(end) {
+			t.Fatalf("%d daemons still know the limit", limitedDaemons())
+		}
+	}
 	for _, d := range f.daemons {
-		if limited := d.Limited(); len(limited) > 0 {
-			t.Fatalf("daemon %d still knows a limit: %v", d.index, limited)
+		if wait := d.deferredUntil.Sub(f.now); wait > 0 {
+			t.Fatalf("daemon %d leaves the replica alone for %v after its limit has ended", d.index, wait)
 		}
 	}
 }
@@ -255,7 +266,7 @@
 // named does not end it.
 func TestOvertakenResponseDoesNotEndLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := newRegistry(func() time.Time { return now }, nil)
+	r := newRegistry(func() time.Time { return now }, func(string) {}, nil)
 	sentAt := now.Add(-time.Second)
 	r.recordResponse("r", 1, 5, sentAt)
 	now = now.Add(time.Millisecond)
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -33,15 +33,16 @@
 // tells them to all daemons: a replica responds to a daemon of a large fleet only now and then, so
 // that each daemon by itself would learn of a limit, and of its end, many seconds late.
 type registry struct {
-	now func() time.Time
-	log *event.Logger
+	now   func() time.Time
+	ended func(id string) // called when a replica's limit has ended; must not block or call the registry
+	log   *event.Logger
 
 	mu     sync.Mutex
 	limits map[string]observation
 }
 
-func newRegistry(now func() time.Time, log *event.Logger) *registry {
-	return &registry{now: now, log: log, limits: map[string]observation{}}
+func newRegistry(now func() time.Time, ended func(id string), log *event.Logger) *registry {
+	return &registry{now: now, ended: ended, log: log, limits: map[string]observation{}}
 }
 
 // get returns the known limit of an incarnation of a replica.
@@ -84,6 +85,7 @@
 		r.log.Log(event.RateLimitNamed, event.F("replica", id), event.F("per_second", o.perSecond), event.F("sent", known.sent))
 	default:
 		r.log.Log(event.RateLimitEnded, event.F("replica", id), event.F("sent", known.sent))
+		r.ended(id)
 	}
 	return changed
 }
--- a/ratelimit/manager.go
+++ b/ratelimit/manager.go
@@ -31,7 +31,8 @@
 
 // Tracker is told when replicas take no requests.
 type Tracker interface {
-	// Defer places no requests on a replica for d; only none that can wait if canWait is set.
+	// Defer places no requests on a replica for d; only none that can wait if canWait is set. A d of 0
+	// ends an earlier deferral.
 	Defer(id string, d time.Duration, canWait bool)
 	// Knows reports whether a replica is listed.
 	Knows(id string) bool
@@ -63,13 +64,21 @@
 // NewManager returns a Manager.
 func NewManager(deps Dependencies) *Manager {
 	m := &Manager{
-		Dependencies: deps, now: clock.BootNow, limits: newRegistry(clock.BootNow, deps.Log), owners: newOwnerCache(deps.Members),
+		Dependencies: deps, now: clock.BootNow, owners: newOwnerCache(deps.Members),
 		buckets: buckets{byKey: map[bucketKey]*bucket{}}, turns: turns{byKey: map[turnKey]*turn{}}, notify: func() {},
 	}
+	m.limits = newRegistry(clock.BootNow, m.limitEnded, deps.Log)
 	m.ask = m.callOwner
 	return m
 }
 
+// limitEnded makes a replica available again whose limit has ended: the turns that were given no longer
+// matter.
+func (m *Manager) limitEnded(id string) {
+	m.turns.retain(func(replica string) bool { return replica != id })
+	m.Tracker.Defer(id, 0, false)
+}
+
 // Topic returns the topic through which daemons tell each other of limits.
 func (m *Manager) Topic() gossip.Topic { return m.limits }
 
