--- a/review/trial/rig.go
+++ b/review/trial/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -98,16 +99,25 @@
 	return l
 }
 
-// freePorts returns free loopback addresses.
+var usedAddresses = map[string]bool{}
+
+// freePorts returns free loopback addresses, below the range from which outgoing connections get
+// their ports.
 func freePorts(n int) []string {
 	var found []string
-	var open []net.Listener
-	for range n {
-		l := listen()
-		open, found = append(open, l), append(found, l.Addr().String())
-	}
-	for _, l := range open {
+	for tries := 0; len(found) < n; tries++ {
+		if tries > 1000 {
+			fail("no free ports")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 16000+rand.IntN(16000)))
+		if err != nil {
+			continue
+		}
 		_ = l.Close()
+		if address := l.Addr().String(); !usedAddresses[address] {
+			usedAddresses[address] = true
+			found = append(found, address)
+		}
 	}
 	return found
 }
