--- a/review/trial/twice.go
+++ b/review/trial/twice.go
@@ -26,12 +26,12 @@
 		{"Name": "orders", "PathPrefix": "/orders/", "Kind": "non_idempotent", "Backend": "ledgerdesk", "TimeoutMs": 3000, "TargetLatencyMs": 400, "MaxAttempts": 3},
 	}, []map[string]any{{"Name": "ledgerdesk"}})
 	r.startEdges(3, nil)
-	end := time.Now().Add(20 * time.Second)
+	end := time.Now().Add(30 * time.Second)
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	answers := map[string]answer{}
 	for i, e := range r.edges {
-		for n := range 3 {
+		for n := range 6 {
 			group.Go(func() {
 				client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableCompression: true}}
 				for k := 0; time.Now().Before(end); k++ {
@@ -48,7 +48,7 @@
 		}
 	}
 	for trouble() && time.Now().Before(end.Add(-time.Second)) {
-		time.Sleep(2 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
 		reset := 0
 		for _, p := range proxies {
 			reset += p.reset(0.55 * 0.35)
