--- a/review/trial/crash.go
+++ b/review/trial/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -104,6 +105,9 @@
 			if a.status != http.StatusOK {
 				r.note("request %s sent to %s: %v", id, e.id, a)
 			}
+		case isTimeout(a.err): // the client gave up: the machine closed nothing
+			r.note("request %s sent to %s: its client gave up", id, e.id)
+			kept = false
 		case kept && passedOn && ctx.Err() == nil:
 			lost.Add(1)
 			r.note("request %s sent to %s on a kept channel, at a server at %.3f s: %v", id, e.id, at.Seconds(), a)
@@ -115,6 +119,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // crashedMachines returns how many machines had at least n ends of their own.
 func (r *rig) crashedMachines(n int) int {
 	count := 0
--- a/review/trial/rig.go
+++ b/review/trial/rig.go
@@ -300,6 +300,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	req.GetBody = nil // net/http must not repeat the request by itself: each is sent once
 	req.Host = host
 	if id != "" {
 		req.Header.Set("Request-Id", id)
