--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,7 @@
-# Build, tests, demos and measurements. Needs only Go and make; "make generate", which
-# regenerates the drpc code, also needs protoc.
+# Build, tests, demos and measurements. Needs only Go and make.
 
-MODULES := fault event measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror gossip quarantine ratelimit relay roster placement gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
+MODULES := fault event measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror gossip quarantine ratelimit relay roster placement organisation lease usage duty gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
-PROTOS := $(wildcard */*pb/*.proto)
 
 .PHONY: build test race check format vet lint demo bench slopes generate
 
@@ -42,8 +40,10 @@
 slopes: build
 	./bin/standin slopes
 
-generate:
+generate: bin/buf
 	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
-	for proto in $(PROTOS); do \
-		PATH=$$PWD/bin:$$PATH protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. $$proto || exit 1; \
-	done
+	./bin/buf generate
+
+# buf compiles the .proto files for "make generate"
+bin/buf: tools/buf/go.mod
+	cd tools/buf && GOWORK=off go build -o ../../bin/buf github.com/bufbuild/buf/cmd/buf
