batch: a submission whose client has left no longer ends the process

Cause: acceptance.run wrapped a nil error if its context had ended before the first attempt to store the batch.

Change: this is an ordinary refusal, not_run unless another daemon may have stored the batch. fault.Wrap without a cause is the same as fault.New.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -66,7 +66,9 @@
 }
 
 func (a *acceptance) run(ctx context.Context) error {
-	var lastErr error
+	// The error if ctx ends before the first attempt: the client has left, or its deadline passed
+	// while the batch was decoded.
+	lastErr := fault.New(fault.Canceled, "no time was left to store it", "")
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		done, err := a.write(ctx)
 		if done {
--- a/batch/accept_test.go
+++ b/batch/accept_test.go
@@ -57,3 +57,29 @@
 		}
 	}
 }
+
+// Guards against the end of the process when the client of a submission has left, or the forwarding
+// daemon has given up, before the first attempt to store the batch (found in a review, case 2): no
+// attempt means no error to wrap.
+func TestSubmissionWhoseClientHasLeftIsRefused(t *testing.T) {
+	table := []struct {
+		name        string
+		mayBeStored bool
+		want        fault.Outcome
+	}{
+		{"nothing was sent", false, fault.NotRun},
+		{"an owner did not respond before", true, fault.Unknown},
+	}
+	for _, row := range table {
+		m := NewManager(Dependencies{
+			Self: "d", Store: &scriptedStore{}, Tracker: placement.NewTracker(nil), MemberAddresses: func() map[string]string { return nil },
+			Mirror: mirror.New(mirror.Config{Kinds: []mirror.Kind{{Name: KindBatches}, {Name: KindBatchEnds}}}, &scriptedStore{}, nil, nil, nil),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		err := m.acceptLocally(ctx, Job{ID: "b", Items: []Item{{ID: "i", Path: "/x"}}}, row.mayBeStored)
+		if err == nil || fault.OutcomeOf(err) != row.want {
+			t.Errorf("%s: got outcome %v, want %v: %v", row.name, fault.OutcomeOf(err), row.want, err)
+		}
+	}
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -80,8 +80,12 @@
 }
 
 // Wrap returns an error of the given kind whose message is "message: cause; remedy".
-// errors.Is and errors.As match the cause too.
+// errors.Is and errors.As match the cause too. Without a cause it is the same as New, since a
+// caller that failed must not go on as if it had succeeded.
 func Wrap(cause error, kind Kind, message, remedy string, options ...Option) error {
+	if cause == nil {
+		return New(kind, message, remedy, options...)
+	}
 	text := appendRemedy(message+": "+messageWithoutRemedy(cause), remedy)
 	err := merry.Wrap(cause, merry.NoCaptureStack(), merry.WithMessage(text))
 	return build(err, kind, remedy, options)
--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -41,3 +41,11 @@
 		t.Error("an error without an outcome must have outcome Unknown")
 	}
 }
+
+// Guards against a nil pointer dereference where a failure has no cause.
+func TestWrapWithoutCauseReturnsError(t *testing.T) {
+	err := Wrap(nil, Unavailable, "not stored", "store it again", WithOutcome(NotRun))
+	if err == nil || err.Error() != "not stored; store it again" || KindOf(err) != Unavailable || OutcomeOf(err) != NotRun {
+		t.Errorf("error %v, kind %v, outcome %v", err, KindOf(err), OutcomeOf(err))
+	}
+}
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"runtime/debug"
 	"strings"
 	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 
+	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
@@ -19,6 +22,24 @@
 
 const unavailableRemedy = "check that the other daemon is running and reachable, or try the call on another daemon"
 
+// recoveringHandler returns a panic of a handler as an error. Without it, one faulty call would end
+// the process and with it all requests of other callers.
+type recoveringHandler struct {
+	handler drpc.Handler
+	log     *event.Logger
+}
+
+// HandleRPC implements drpc.Handler.
+func (h recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.log.Log(event.PeerHandlerPanicked, event.F("call", rpc), event.F("cause", fmt.Sprint(cause)), event.F("stack", string(debug.Stack())))
+			err = fault.New(fault.Internal, "the handler of "+rpc+" failed", "report this defect with the log of the called daemon")
+		}
+	}()
+	return h.handler.HandleRPC(stream, rpc)
+}
+
 // faultHandler encodes the errors of a handler as fault.Body.
 type faultHandler struct{ handler drpc.Handler }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -36,10 +36,13 @@
 // echoService is a drpc service that returns what it receives.
 type echoService struct{}
 
-// Call returns its input; "refuse" returns an error and "slow" delays the response
-// beyond the progress timeout.
+// Call returns its input; "refuse" returns an error, "panic" panics and "slow" delays the
+// response beyond the progress timeout.
 func (e *echoService) Call(ctx context.Context, in *message) (*message, error) {
 	switch in.value {
+	case "panic":
+		var missing *message
+		return &message{value: missing.value}, nil
 	case "refuse":
 		return nil, fault.New(fault.Fenced, "an older lease", "ask the newer holder",
 			fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(time.Second))
@@ -294,6 +297,17 @@
 	f.mustCall(t)
 }
 
+// Guards against the end of a process by a call of a peer whose handler panics.
+func TestPanicOfHandlerFailsOnlyItsCall(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if _, err := f.call(ctx, "panic"); !fault.Is(err, fault.Internal) || fault.OutcomeOf(err) != fault.Unknown {
+		t.Errorf("error %v, outcome %v", err, fault.OutcomeOf(err))
+	}
+	f.mustCall(t)
+}
+
 func TestClosedPoolRefusesAsNotRun(t *testing.T) {
 	f := newFixture(t)
 	f.mustCall(t)
--- a/peer/server.go
+++ b/peer/server.go
@@ -31,7 +31,7 @@
 // connection. It closes connections without a call after twice the idle timeout of a
 // Pool.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	handler := countingHandler{handler: faultHandler{handler: s.mux}, counts: &s.counts}
+	handler := countingHandler{handler: faultHandler{handler: recoveringHandler{handler: s.mux, log: s.log}}, counts: &s.counts}
 	server := drpcserver.NewWithOptions(handler, drpcserver.Options{
 		Manager: drpcmanager.Options{InactivityTimeout: 2 * idleTimeout},
 		Log:     func(err error) { s.log.Log(event.PeerConnectionEnded, event.Err(err)) },
