batch: tasks that can't be placed no longer hold up those behind them

Cause: only the first three tasks of a queue were looked at, and an item was bound for good to one service of its route's split.

Change: the whole queue is looked at; a service without room is asked once in a pass. Items and scoring calls of a service without a usable replica go to another service of the split.

--- a/batch/item.go
+++ b/batch/item.go
@@ -8,13 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
-	"github.com/hornbeamtide/hornbeamtide/gateway"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
@@ -43,16 +40,6 @@
 // errWeightsTooOld means that a replica generates with weights older than the batch allows.
 var errWeightsTooOld = fault.New(fault.Stale, "the replica's weights are older than the batch allows", "wait until the replica has loaded newer weights")
 
-// chooseService returns the service of the route's split that an item belongs to. It hashes the
-// item's ID so that every attempt gets the same service.
-func chooseService(route *catalog.Route, item string) string {
-	if len(route.Split) == 1 {
-		return route.Split[0].Service
-	}
-	point := float64(xxhash.Sum64String(item)%1000) / 1000
-	return gateway.ChooseService(route.Split, point)
-}
-
 func (r *run) routeOf(item *Item) (*catalog.Route, bool) {
 	cfg := r.configuration()
 	if cfg == nil {
--- a/batch/move.go
+++ b/batch/move.go
@@ -102,13 +102,12 @@
 }
 
 func (r *run) moveIfStraggler(s *completionStream) {
-	request, ok := r.placementRequest(s.task.item)
-	if !ok || s.task.moves >= maxMoves {
+	route, ok := r.routeOf(s.task.item)
+	if !ok || s.task.moves >= maxMoves || route.SingleVersion { // with a single version it might have to start over
 		return
 	}
-	if route, ok := r.routeOf(s.task.item); ok && route.SingleVersion {
-		return // it might have to start over
-	}
+	request := r.placementRequest()
+	request.Service = usableService(route, s.task.item.ID, r.usability(request))
 	request.Exclude = map[string]bool{s.lease.ID: true}
 	typical, free := r.tracker.MedianTimePerUnit(request)
 	s.mu.Lock()
--- a/batch/run.go
+++ b/batch/run.go
@@ -144,36 +144,41 @@
 	}
 }
 
-// next returns the first task for which a replica has a free slot.
+// next returns the first task for which a replica has a free slot. Load pattern: tasks that failed
+// come back to the front of the queue while their replicas are full or gone; those behind them start
+// as long as another service has room. A service without room is asked only once in a pass, since
+// the queue may hold thousands of tasks.
 func (r *run) next() (*task, *placement.Lease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	full := map[string]bool{}
+	request := r.placementRequest()
+	isUsable := r.usability(request)
 	for i, t := range r.queue {
-		lease := r.pickReplica(t)
-		if lease != nil {
-			r.queue = append(r.queue[:i:i], r.queue[i+1:]...)
-			if t.startedAt.IsZero() {
-				t.startedAt = time.Now()
-			}
-			return t, lease
+		route, ok := r.routeOf(t.item)
+		if !ok {
+			continue
+		}
+		request.Service, request.AffinityKey = usableService(route, t.item.ID, isUsable), t.item.Group
+		if full[request.Service] {
+			continue
+		}
+		lease := r.pickReplica(t, request)
+		if lease == nil {
+			full[request.Service] = true
+			continue
 		}
-		if i >= lookAhead {
-			break
+		r.queue = append(r.queue[:i:i], r.queue[i+1:]...)
+		if t.startedAt.IsZero() {
+			t.startedAt = time.Now()
 		}
+		return t, lease
 	}
 	return nil, nil
 }
 
-// lookAhead is how many tasks after the first may overtake it: a task whose replicas are full
-// or unhealthy should not block the others.
-const lookAhead = 2
-
 // pickReplica reserves a slot for a task on a suitable replica. The caller holds r.mu.
-func (r *run) pickReplica(t *task) *placement.Lease {
-	request, ok := r.placementRequest(t.item)
-	if !ok {
-		return nil
-	}
+func (r *run) pickReplica(t *task, request placement.Request) *placement.Lease {
 	request.Exclude = t.tried
 	lease := r.tracker.Pick(request)
 	if lease == nil && len(t.tried) > 0 {
@@ -186,16 +191,10 @@
 	return lease
 }
 
-// placementRequest returns the requirements for a replica that runs an item.
-func (r *run) placementRequest(item *Item) (placement.Request, bool) {
-	route, ok := r.routeOf(item)
-	if !ok {
-		return placement.Request{}, false
-	}
-	return placement.Request{
-		Service: chooseService(route, item.ID), Model: r.job.Model,
-		MinVersion: r.job.MinVersion, AffinityKey: item.Group, RequireFreeSlot: true,
-	}, true
+// placementRequest returns the requirements for a replica that runs items of the batch, whatever their
+// service and group.
+func (r *run) placementRequest() placement.Request {
+	return placement.Request{Model: r.job.Model, MinVersion: r.job.MinVersion, RequireFreeSlot: true}
 }
 
 // requeue puts a task at the front of the queue.
--- a/batch/score.go
+++ b/batch/score.go
@@ -85,7 +85,8 @@
 	if !ok {
 		return "", "", false
 	}
-	request := placement.Request{Service: chooseService(route, s.ID), Exclude: tried, RequireFreeSlot: true, ReservedFraction: callerReserve}
+	request := placement.Request{Exclude: tried, RequireFreeSlot: true, ReservedFraction: callerReserve}
+	request.Service = usableService(route, s.ID, r.usability(request))
 	lease := r.tracker.Pick(request)
 	if lease == nil {
 		clear(tried)
