mirror: a daemon back from a cut removes replicas that left at once

Cause: objects missing after an outage got a grace period of 2.5 s, since entries expire while the store is unavailable.

Change: responses tell for how long the sender's copy has followed the store. The grace period applies only if at least half of the other daemons had no fresh copy either; it ends when a daemon responds that followed the store all the time. While all daemons are skipped, one is asked every 300 ms, and after an outage none is skipped any more.

Ruled out: taking one outdated response as the sign of an outage of the store.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// outageAge is the age of the copy above which objects that are absent from the next response
-	// get a grace period: they may have expired only because the store was unavailable.
-	outageAge = 3 * time.Second
 	// missingGracePeriod is how long such a missing object stays. A writer that is alive writes
 	// its object again within 2 s.
 	missingGracePeriod = 2500 * time.Millisecond
@@ -78,9 +75,11 @@
 	confirmed    bool                  // the copy once matched the store since the start
 	storeLostAt  time.Time             // when the store stopped responding to this daemon; zero while it responds
 	freshAt      time.Time             // when the urgent kinds last matched the store
+	continuity   continuity            // since when they have followed it
 	allFreshAt   time.Time             // when all kinds last matched the store
 	skipped      map[string]skipPeriod // daemons without a fresh copy, by ID
 	watching     scope                 // what this daemon watches in the store
+	others       int                   // number of other daemons known
 	lastSource   string                // address of the last daemon that responded with a fresh copy
 	lastSourceAt time.Time             // when lastSource responded
 	lastContact  time.Time             // when another daemon last sent a request or a response
@@ -108,6 +107,7 @@
 		cfg: cfg, store: store, conns: conns, members: members, log: log,
 		kinds: map[string]*kindCopy{}, skipped: map[string]skipPeriod{},
 		startedAt: time.Now(), changed: make(chan struct{}), roleChange: make(chan struct{}), freshAt: time.Now(), allFreshAt: time.Now(), lastContact: time.Now(), watching: watchNothing,
+		continuity: continuity{staleDaemons: map[string]bool{}},
 	}
 	for _, kind := range cfg.Kinds {
 		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, missing: map[string]time.Time{}}
@@ -223,9 +223,9 @@
 }
 
 // replace updates the copy to a newer revision, given the objects that are new or changed and
-// the keys of all objects. After an outage, missing objects get a grace period before they are
+// the keys of all objects. With grace, missing objects are kept for a grace period before they are
 // deleted. It reports whether anything changed.
-func (k *kindCopy) replace(revision int64, changed []objectapi.Object, keys map[string]bool, afterOutage bool) bool {
+func (k *kindCopy) replace(revision int64, changed []objectapi.Object, keys map[string]bool, grace bool) bool {
 	updated := false
 	for _, o := range changed {
 		if k.objects[o.Key].Version < o.Version {
@@ -238,7 +238,7 @@
 		if keys[key] || o.Version > revision {
 			continue
 		}
-		if k.remove(o, revision, afterOutage) {
+		if k.remove(o, revision, grace) {
 			updated = true
 		}
 	}
@@ -246,10 +246,10 @@
 	return updated
 }
 
-// remove deletes an object; after an outage it only starts the object's grace period. It reports
-// whether the object was deleted.
-func (k *kindCopy) remove(o objectapi.Object, revision int64, afterOutage bool) bool {
-	if deleteAt, isMissing := k.missing[o.Key]; afterOutage || isMissing && time.Now().Before(deleteAt) {
+// remove deletes an object; with grace it only starts the object's grace period. It reports whether
+// the object was deleted.
+func (k *kindCopy) remove(o objectapi.Object, revision int64, grace bool) bool {
+	if deleteAt, isMissing := k.missing[o.Key]; grace || isMissing && time.Now().Before(deleteAt) {
 		if !isMissing {
 			k.missing[o.Key] = time.Now().Add(missingGracePeriod)
 		}
@@ -260,6 +260,13 @@
 	return true
 }
 
+// endGrace ends the grace periods of all missing objects.
+func (k *kindCopy) endGrace() {
+	for key := range k.missing {
+		k.missing[key] = time.Time{}
+	}
+}
+
 // expireMissing deletes the missing objects whose grace period is over. It reports whether there
 // were any.
 func (k *kindCopy) expireMissing() bool {
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -55,6 +55,7 @@
 		isCollector := contains(chosen, self.ID)
 		candidates := sources(self, ordered, chosen)
 		usable := m.notSkipped(candidates)
+		m.setOthers(len(candidates))
 		m.expireMissing()
 		switch {
 		case isCollector && chosen[0].ID == self.ID, len(candidates) == 0, m.ageAll() > staleAllAge:
@@ -66,6 +67,7 @@
 		}
 		switch {
 		case len(usable) == 0:
+			m.probe(ctx, candidates, round)
 			clock.Sleep(ctx, noPeerDelay)
 		case isCollector && !m.isStale():
 			asked := collectorSources(usable, chosen)
@@ -82,6 +84,25 @@
 	}
 }
 
+// probe asks one of the daemons although all are skipped. Load pattern: this daemon was cut off and
+// reached nobody, or the store was unavailable for all, so that nobody had a fresh copy. The end of
+// that must not be noticed only when a skip period ends.
+func (m *Mirror) probe(ctx context.Context, candidates []Member, round int) {
+	if len(candidates) == 0 {
+		return
+	}
+	source := candidates[round%len(candidates)]
+	if m.syncFrom(ctx, source, 0) == freshCopy {
+		m.skip(source.ID, 0)
+	}
+}
+
+func (m *Mirror) setOthers(count int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.others = count
+}
+
 func contains(members []Member, id string) bool {
 	for _, m := range members {
 		if m.ID == id {
@@ -189,17 +210,18 @@
 	if outdated && !m.isCompleteLocked() && time.Since(m.startedAt) < staleFallbackDelay {
 		return staleCopy
 	}
-	afterOutage := m.age() > outageAge
-	updated := false
+	m.recordPeer(from, age, time.Duration(resp.UnbrokenMs)*time.Millisecond)
+	grace := m.grantsGrace()
+	updated := m.expireMissingLocked()
 	for _, update := range resp.News {
-		if m.applyUpdate(update, from, afterOutage) {
+		if m.applyUpdate(update, from, grace) {
 			updated = true
 		}
 	}
 	if updated {
 		m.notifyWaiters()
 	}
-	m.freshAt = later(m.freshAt, time.Now().Add(-age))
+	m.setFreshAt(time.Now().Add(-age))
 	m.allFreshAt = later(m.allFreshAt, time.Now().Add(-time.Duration(resp.AgeAllMs)*time.Millisecond))
 	switch {
 	case age >= unknownAge:
@@ -229,7 +251,7 @@
 
 // applyUpdate applies another daemon's update of one kind and reports whether anything changed.
 // The caller holds the lock.
-func (m *Mirror) applyUpdate(update *mirrorpb.News, from string, afterOutage bool) bool {
+func (m *Mirror) applyUpdate(update *mirrorpb.News, from string, grace bool) bool {
 	k := m.kinds[update.Kind]
 	if k == nil || update.Revision <= k.revision {
 		return false
@@ -243,7 +265,7 @@
 	for _, key := range update.Keys {
 		keys[key] = true
 	}
-	return k.replace(update.Revision, changed, keys, afterOutage)
+	return k.replace(update.Revision, changed, keys, grace)
 }
 
 // service implements the drpc service for other daemons.
@@ -274,7 +296,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastContact = time.Now()
-	resp := &mirrorpb.SyncAnswer{AgeMs: m.advertisedAge().Milliseconds(), AgeAllMs: time.Since(m.allFreshAt).Milliseconds()}
+	resp := &mirrorpb.SyncAnswer{
+		AgeMs: m.advertisedAge().Milliseconds(), AgeAllMs: time.Since(m.allFreshAt).Milliseconds(),
+		UnbrokenMs: m.continuity.unbroken(time.Now(), m.freshAt).Milliseconds(),
+	}
 	for _, known := range request.Known {
 		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.lastChange > known.Revision || known.Revision == 0) {
 			resp.News = append(resp.News, k.updateAfter(known))
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -165,7 +165,7 @@
 			oldestOfAll = other.respondedAt
 		}
 	}
-	m.freshAt = later(m.freshAt, oldest)
+	m.setFreshAt(oldest)
 	m.confirmed = m.confirmed || !oldest.IsZero()
 	m.allFreshAt = later(m.allFreshAt, oldestOfAll)
 	if !m.storeLostAt.IsZero() {
@@ -179,11 +179,21 @@
 func (m *Mirror) expireMissing() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.expireMissingLocked() {
+		m.notifyWaiters()
+	}
+}
+
+// expireMissingLocked is expireMissing for a caller that holds the lock and wakes the waiters. It
+// reports whether any object was deleted.
+func (m *Mirror) expireMissingLocked() bool {
+	expired := false
 	for _, k := range m.kinds {
 		if k.expireMissing() {
-			m.notifyWaiters()
+			expired = true
 		}
 	}
+	return expired
 }
 
 func later(a, b time.Time) time.Time {
@@ -200,7 +210,7 @@
 func (m *Mirror) replace(kind string, list objectapi.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	k, afterOutage := m.kinds[kind], m.age() > outageAge
+	k, grace := m.kinds[kind], m.grantsGrace()
 	m.storeResponded(k)
 	k.mustList = false
 	if list.Revision < k.revision {
@@ -211,7 +221,7 @@
 	for _, o := range list.Objects {
 		keys[o.Key] = true
 	}
-	if k.replace(list.Revision, list.Objects, keys, afterOutage) {
+	if k.replace(list.Revision, list.Objects, keys, grace) {
 		m.notifyWaiters()
 	}
 }
@@ -224,7 +234,7 @@
 	if change.Bookmark {
 		m.storeResponded(k)
 	}
-	afterOutage := m.age() > outageAge
+	grace := m.grantsGrace()
 	if change.Revision <= k.revision {
 		return
 	}
@@ -233,7 +243,7 @@
 	case change.Bookmark:
 		return
 	case change.Deleted:
-		if !k.remove(change.Object, change.Revision, afterOutage) {
+		if !k.remove(change.Object, change.Revision, grace) {
 			return
 		}
 	default:
