lease: extract the lease of package waves

The usage reports need the same right of one daemon at a time as the load orders, so that the lease moves out of waves/lease.go into a package of its own with the key, the holder and a clock in its configuration.

Its events are 2300 to 2302 with the field key. 1600, 1601 and 1604 are withdrawn and not used again.

--- a/event/waves.go
+++ b/event/waves.go
@@ -2,11 +2,9 @@
 
 import "github.com/sirupsen/logrus"
 
-// Events of package waves.
+// Events of package waves. The numbers 1600, 1601 and 1604 belonged to its lease, whose events are
+// now 2300 to 2302 with the key leases/weights; they are not used again.
 var (
-	WaveLeaseTaken           = define(1600, logrus.InfoLevel, "weight order lease acquired", "This daemon orders replicas to load new weight versions.")
-	WaveLeaseLost            = define(1601, logrus.InfoLevel, "weight order lease lost", "Another daemon holds the lease, or its renewal could not be confirmed; this daemon sends no more orders.")
-	WaveLeaseReleased        = define(1604, logrus.InfoLevel, "weight order lease released", "This daemon is stopping; the next daemon in line may send orders at once.")
 	WaveOrderSent            = define(1602, logrus.InfoLevel, "weight version ordered", "A replica was ordered to load a version; reply is its response.")
 	WaveVersionAnnounced     = define(1605, logrus.InfoLevel, "weight version announced", "A trainer announced the version; the daemon that holds the lease orders the replicas to load it.")
 	WaveVersionLoaded        = define(1606, logrus.InfoLevel, "weight version loaded", "The replica reports the version that it was ordered to load.")
--- a/waves/counts.go
+++ b/waves/counts.go
@@ -9,7 +9,7 @@
 
 // Counts returns the current counts.
 func (m *Manager) Counts() Counts {
-	_, holds := m.lease.holds()
+	_, holds := m.lease.Holds()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return Counts{Orders: len(m.orders), Lagging: m.lagging, HoldsLease: holds}
--- a/waves/manager.go
+++ b/waves/manager.go
@@ -8,14 +8,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
-	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/lease"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 )
 
 const (
+	// leaseKey is the store key of the lease object.
+	leaseKey = "leases/weights"
 	// activeInterval is the time between two passes while replicas lag.
 	activeInterval = 100 * time.Millisecond
 	// takeoverDelay is how long replicas must lag without progress before the daemon of the
@@ -65,7 +67,7 @@
 	Dependencies
 
 	cfg   Config
-	lease *lease
+	lease *lease.Lease
 	wake  chan struct{}
 	calls sync.WaitGroup // calls to replicas
 
@@ -100,10 +102,10 @@
 func NewManager(cfg Config, deps Dependencies) *Manager {
 	return &Manager{
 		Dependencies: deps, cfg: cfg, wake: make(chan struct{}, 1),
-		lease: &lease{
-			store: deps.Store, log: deps.Log, self: cfg.Self, incarnation: cfg.Incarnation,
-			duration: cfg.LeaseDuration, fenced: cfg.ReplicasCheckTokens, clock: clock.BootTime,
-		},
+		lease: lease.New(lease.Config{
+			Key: leaseKey, Self: cfg.Self, Incarnation: cfg.Incarnation,
+			Duration: cfg.LeaseDuration, Fenced: cfg.ReplicasCheckTokens,
+		}, deps.Store, deps.Log),
 		versions: map[string]int64{}, orders: map[string]*orderProgress{}, replicaCounts: map[string]map[string]int{}, deferredUntil: map[string]time.Time{}, unresponsiveUntil: map[string]time.Time{},
 	}
 }
@@ -135,7 +137,7 @@
 	m.calls.Wait()
 	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	m.lease.release(releaseCtx)
+	m.lease.Release(releaseCtx)
 	return nil
 }
 
@@ -162,20 +164,20 @@
 	if len(items) == 0 {
 		return idleInterval
 	}
-	if _, held := m.lease.holds(); held {
-		m.lease.renewInBackground(ctx)
+	if _, held := m.lease.Holds(); held {
+		m.lease.RenewInBackground(ctx)
 		m.sendOrders(ctx, items)
 		return activeInterval
 	}
 	rank, stalled := m.takeoverRank()
 	switch {
-	case m.lease.isWaiting():
-		m.lease.renewInBackground(ctx)
+	case m.lease.IsWaiting():
+		m.lease.RenewInBackground(ctx)
 	case stalled >= time.Duration(rank)*takeoverDelay:
-		m.lease.acquire(ctx)
+		m.lease.Acquire(ctx)
 	case rank <= maxObserverRank && stalled > observeDelay && time.Since(m.observedAt) > observeDelay:
 		m.observedAt = time.Now()
-		m.lease.observe(ctx)
+		m.lease.Observe(ctx)
 	}
 	return 2 * activeInterval
 }
--- a/waves/orders.go
+++ b/waves/orders.go
@@ -139,7 +139,7 @@
 		m.deferLoad(w.replica.ID)
 		return false
 	}
-	token, held := m.lease.tokenForOrder()
+	token, held := m.lease.TokenForCall()
 	if !held {
 		return false
 	}
@@ -160,7 +160,7 @@
 	case reply == AlreadyLoaded:
 		m.Tracker.SetVersion(w.replica.ID, w.model, w.version)
 	case reply == Fenced:
-		m.lease.invalidate()
+		m.lease.Invalidate()
 	}
 	return false
 }
