mirror: proof of how new the copy of one object is

Cause: a configuration may take an API key away, and no daemon may act on an older copy for longer than the withdrawal time, also one that is cut off, suspended or behind a watch that misses changes.

Change: where Config.ProofInterval is set, the daemons that watch the store read the object at that interval; a proof counts from the time of the question on the boot-time clock. Others get it with their updates, with its age and the time for which the request was held, so that it is never overestimated. Without ProofInterval nothing is read or sent.

--- a/mirror/continuity_test.go
+++ b/mirror/continuity_test.go
@@ -35,16 +35,16 @@
 		"watch of the store": func(m *Mirror) {
 			m.apply("servers", objectapi.Change{Revision: 9, Object: testObject("left", 9), Deleted: true})
 		},
-		"daemon that was not cut off": func(m *Mirror) { m.applyResponse("d2", peerUpdate(0, 2*time.Minute)) },
+		"daemon that was not cut off": func(m *Mirror) { m.applyResponse("d2", 0, peerUpdate(0, 2*time.Minute)) },
 		"list of the store, beside another daemon that was cut off too": func(m *Mirror) {
-			m.applyResponse("d2", &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()})
+			m.applyResponse("d2", 0, &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()})
 			m.replace("servers", afterCut)
 		},
 		"two that were cut off too, then one that was not": func(m *Mirror) {
-			m.applyResponse("d2", &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()})
-			m.applyResponse("d4", &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()})
+			m.applyResponse("d2", 0, &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()})
+			m.applyResponse("d4", 0, &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()})
 			m.replace("servers", afterCut)
-			m.applyResponse("d3", &mirrorpb.SyncAnswer{UnbrokenMs: (2 * time.Minute).Milliseconds()})
+			m.applyResponse("d3", 0, &mirrorpb.SyncAnswer{UnbrokenMs: (2 * time.Minute).Milliseconds()})
 		},
 	} {
 		m := cutOffMirror()
@@ -62,12 +62,12 @@
 	for name, contact := range map[string]func(m *Mirror){
 		"list of the store": func(m *Mirror) { m.replace("servers", objectapi.Snapshot{Revision: 9}) },
 		"daemon that has regained the store": func(m *Mirror) {
-			m.applyResponse("d3", peerUpdate(0, time.Second))
+			m.applyResponse("d3", 0, peerUpdate(0, time.Second))
 		},
 	} {
 		m := cutOffMirror()
-		m.applyResponse("d2", stale)
-		m.applyResponse("d4", stale)
+		m.applyResponse("d2", 0, stale)
+		m.applyResponse("d4", 0, stale)
 		contact(m)
 		if !hasObject(m, "left") {
 			t.Errorf("%s: the missing replica was removed at once", name)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -8,9 +8,11 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/peer"
@@ -45,6 +47,10 @@
 	Self          string // ID of this daemon
 	FailureDomain string
 	Kinds         []Kind
+	// ProvenKey is an object of one of the kinds, and ProofInterval the time between two reads by
+	// which daemons prove that their copy of it is the newest; 0 for no proofs.
+	ProvenKey     string
+	ProofInterval time.Duration
 }
 
 // Change is an object that was created, updated or deleted.
@@ -71,11 +77,12 @@
 
 	mu           sync.Mutex
 	kinds        map[string]*kindCopy
-	startedAt    time.Time             // when this daemon started
-	confirmed    bool                  // the copy once matched the store since the start
-	storeLostAt  time.Time             // when the store stopped responding to this daemon; zero while it responds
-	freshAt      time.Time             // when the urgent kinds last matched the store
-	continuity   continuity            // since when they have followed it
+	startedAt    time.Time  // when this daemon started
+	confirmed    bool       // the copy once matched the store since the start
+	storeLostAt  time.Time  // when the store stopped responding to this daemon; zero while it responds
+	freshAt      time.Time  // when the urgent kinds last matched the store
+	continuity   continuity // since when they have followed it
+	proof        proof
 	allFreshAt   time.Time             // when all kinds last matched the store
 	skipped      map[string]skipPeriod // daemons without a fresh copy, by ID
 	watching     scope                 // what this daemon watches in the store
@@ -107,7 +114,7 @@
 		cfg: cfg, store: store, conns: conns, members: members, log: log,
 		kinds: map[string]*kindCopy{}, skipped: map[string]skipPeriod{},
 		startedAt: time.Now(), changed: make(chan struct{}), roleChange: make(chan struct{}), freshAt: time.Now(), allFreshAt: time.Now(), lastContact: time.Now(), watching: watchNothing,
-		continuity: continuity{staleDaemons: map[string]bool{}},
+		continuity: continuity{staleDaemons: map[string]bool{}}, proof: proof{now: clock.BootTime},
 	}
 	for _, kind := range cfg.Kinds {
 		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, missing: map[string]time.Time{}}
@@ -159,6 +166,9 @@
 	}
 	group.Go(func() { m.syncLoop(ctx) })
 	group.Go(func() { m.initialSync(ctx) })
+	if m.cfg.ProofInterval > 0 {
+		group.Go(func() { m.keepProof(ctx) })
+	}
 	group.Wait()
 	return nil
 }
@@ -286,6 +296,9 @@
 	return expired
 }
 
+// owns reports whether an object with the key is of this kind.
+func (k *kindCopy) owns(key string) bool { return strings.HasPrefix(key, k.Name+"/") }
+
 func (k *kindCopy) set(change Change) {
 	change.From = k.source
 	delete(k.missing, change.Key)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -99,16 +99,16 @@
 		{Kind: "servers", Revision: 9, Keys: []string{"servers/a"}, Changed: []*mirrorpb.Object{{Key: "servers/a", Version: 8}}},
 	}}
 	m := newTestMirror()
-	if got := m.applyResponse("cut-off", stale); got != staleCopy || m.Known("servers") {
+	if got := m.applyResponse("cut-off", 0, stale); got != staleCopy || m.Known("servers") {
 		t.Errorf("result %v, known %t; want a stale copy that is not used", got, m.Known("servers"))
 	}
-	if got := m.applyResponse("other", fresh); got != freshCopy || hasObject(m, "left") || !hasObject(m, "a") {
+	if got := m.applyResponse("other", 0, fresh); got != freshCopy || hasObject(m, "left") || !hasObject(m, "a") {
 		t.Errorf("result %v, left %t, a %t; want only a", got, hasObject(m, "left"), hasObject(m, "a"))
 	}
 
 	isolated := newTestMirror()
 	isolated.startedAt = time.Now().Add(-staleFallbackDelay)
-	isolated.applyResponse("cut-off", stale)
+	isolated.applyResponse("cut-off", 0, stale)
 	if !isolated.Known("servers") {
 		t.Error("a stale copy is not used although there is no other")
 	}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -188,20 +188,22 @@
 	if err != nil {
 		return noResponse
 	}
+	asked := m.proof.now()
 	resp, err := mirrorpb.NewDRPCMirrorClient(conn).Sync(ctx, m.syncRequest(wait))
 	if err != nil {
 		return noResponse
 	}
-	result := m.applyResponse(from.ID, resp)
+	result := m.applyResponse(from.ID, asked, resp)
 	if result == freshCopy {
 		m.setLastSource(from.Address)
 	}
 	return result
 }
 
-// applyResponse applies another daemon's updates. After a start, an outdated copy is used only when
+// applyResponse applies another daemon's updates, for which this daemon asked at a time on the boot-time
+// clock. After a start, an outdated copy is used only when
 // staleFallbackDelay has passed without a better one: it may hold objects that were deleted since.
-func (m *Mirror) applyResponse(from string, resp *mirrorpb.SyncAnswer) syncResult {
+func (m *Mirror) applyResponse(from string, asked time.Duration, resp *mirrorpb.SyncAnswer) syncResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastContact = time.Now()
@@ -221,6 +223,7 @@
 	if updated {
 		m.notifyWaiters()
 	}
+	m.recordPeerProof(asked, resp)
 	m.setFreshAt(time.Now().Add(-age))
 	m.allFreshAt = later(m.allFreshAt, time.Now().Add(-time.Duration(resp.AgeAllMs)*time.Millisecond))
 	switch {
@@ -273,10 +276,13 @@
 
 // Sync implements mirrorpb.DRPCMirrorServer.
 func (s service) Sync(ctx context.Context, request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, error) {
+	arrivedAt := s.m.proof.now()
 	timer := time.NewTimer(time.Duration(request.WaitMs) * time.Millisecond)
 	defer timer.Stop()
 	for expired := request.WaitMs == 0; ; {
+		held := s.m.proof.now() - arrivedAt // before the proof's age is taken, so that it is no overestimate
 		resp, changed := s.m.updatesFor(request)
+		resp.HeldMs = held.Milliseconds()
 		if expired || len(resp.News) > 0 || resp.AgeMs >= staleAge.Milliseconds() {
 			return resp, nil
 		}
@@ -298,7 +304,7 @@
 	m.lastContact = time.Now()
 	resp := &mirrorpb.SyncAnswer{
 		AgeMs: m.advertisedAge().Milliseconds(), AgeAllMs: time.Since(m.allFreshAt).Milliseconds(),
-		UnbrokenMs: m.continuity.unbroken(time.Now(), m.freshAt).Milliseconds(),
+		UnbrokenMs: m.continuity.unbroken(time.Now(), m.freshAt).Milliseconds(), ProofAgeMs: m.advertisedProofAge(),
 	}
 	for _, known := range request.Known {
 		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.lastChange > known.Revision || known.Revision == 0) {
