Organisations and API keys; usage is counted and reported

Change: package organisation decides on a key: known, unknown (401), or not provably valid (503). The front removes key and organisation as sent by the caller, checks the key again before each attempt, and has replicas run requests and items for the organisation. Batches belong to their organisation. The adapter replaces keys by digests when it reads the configuration. The gateway counts the requests that began to run, and the parts of packages usage and duty report them where the settings name an address and a window. Without organisations and duties nothing changes.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	if m.isKnown(job.ID) {
-		return nil
+		return m.checkOwner(ctx, job)
 	}
 	mayBeStored := false
 	if owner := m.chooseOwner(job); owner != m.self {
@@ -44,6 +44,27 @@
 	return a.run(ctx)
 }
 
+// checkOwner returns an error if the batch with the job's ID belongs to another organisation.
+func (m *Manager) checkOwner(ctx context.Context, job Job) error {
+	if job.Organisation == "" {
+		return nil
+	}
+	owner, err := m.Organisation(ctx, job.ID)
+	if err != nil || owner == job.Organisation {
+		return err
+	}
+	return fault.New(fault.Forbidden, "batch "+job.ID+" belongs to another organisation", "submit the batch under another id", fault.WithOutcome(fault.NotRun))
+}
+
+// Organisation returns the organisation that submitted a batch, "" if none did.
+func (m *Manager) Organisation(ctx context.Context, id string) (string, error) {
+	b, err := m.find(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	return m.jobOf(b).Organisation, nil
+}
+
 func (m *Manager) isDraining() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -74,7 +95,7 @@
 		if done {
 			return nil
 		}
-		if fault.Is(err, fault.Invalid) {
+		if fault.Is(err, fault.Invalid) || fault.Is(err, fault.Forbidden) {
 			return err
 		}
 		lastErr = err
@@ -108,7 +129,9 @@
 		a.startRun()
 		return true, nil
 	case fault.Is(err, fault.Conflict):
-		return true, nil
+		a.mayBeStored = true
+		err := a.checkOwner(ctx, a.job)
+		return err == nil, err
 	case fault.Is(err, fault.Ambiguous):
 		a.mayBeStored = true
 	}
--- a/batch/carry_over.go
+++ b/batch/carry_over.go
@@ -1,7 +1,7 @@
 package batch
 
 // carriedOver returns the completions that this daemon has for items of the batch from earlier
-// batches of the same model: items of groups that an earlier step did not wait for are submitted
+// batches of the same model and organisation: items of groups that an earlier step did not wait for are submitted
 // again. A completion is usable if none of its weight versions is older than the batch allows.
 // The caller holds m.mu.
 func (m *Manager) carriedOver(job Job) map[string]*Completion {
@@ -11,7 +11,7 @@
 	}
 	completions := map[string]*Completion{}
 	for _, b := range m.batches {
-		if b.run == nil || b.job.ID == job.ID || b.job.Model != job.Model || b.job.Step >= job.Step {
+		if b.run == nil || b.job.ID == job.ID || b.job.Model != job.Model || b.job.Step >= job.Step || b.job.Organisation != job.Organisation {
 			continue
 		}
 		for id, completion := range b.run.copyCompletions() {
--- a/batch/item.go
+++ b/batch/item.go
@@ -99,7 +99,7 @@
 	resp, err := r.backend.Send(ctx, upstream.Call{
 		Replica: lease.Replica, RequestID: t.item.ID, Method: http.MethodPost, Target: t.item.Path,
 		Host: r.job.Host, Header: t.item.Header, Body: t.item.Body,
-		ResumeAfter: int64(resumeAfter), Retryable: true, Deferrable: true,
+		ResumeAfter: int64(resumeAfter), Retryable: true, Deferrable: true, Organisation: r.job.Organisation,
 	})
 	if err != nil {
 		return r.recordFailure(s, err, 0)
--- a/batch/job.go
+++ b/batch/job.go
@@ -41,6 +41,8 @@
 	Parts          int       `json:"parts,omitempty"` // number of objects that hold the items, 0 if Items holds them
 	Total          int       `json:"total,omitempty"` // number of items in the parts
 	ExpectedTokens float64   `json:"work,omitempty"`  // expected output tokens of all items
+	// Organisation is the one that submitted the batch and for which its items run, "" for none.
+	Organisation string `json:"organisation,omitempty"`
 }
 
 // total returns the number of items, whether in the head or in parts.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -26,8 +26,18 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations own the API keys with which callers send requests; empty if requests need none.
+	Organisations []Organisation
 
-	byHost map[string][]int // indices of Routes, longest prefix first
+	byHost map[string][]int  // indices of Routes, longest prefix first
+	byKey  map[string]string // names of organisations by the digest of an API key
+}
+
+// Organisation is a customer whose callers send requests with its API keys.
+type Organisation struct {
+	Name string
+	// KeyDigests are the digests of its API keys. The keys themselves are not kept.
+	KeyDigests []string
 }
 
 // Limits restrict the size of a caller's requests and the time that the caller may take.
@@ -46,8 +56,9 @@
 	Kind          RequestKind
 	Timeout       time.Duration // maximum duration of a request
 	TargetLatency time.Duration
-	Priority      int // 0 is the highest
-	MaxAttempts   int // maximum number of replicas to which one attempt of a caller is sent
+	Priority      int  // 0 is the highest
+	MaxAttempts   int  // maximum number of replicas to which one attempt of a caller is sent
+	Public        bool // requests need no API key
 	Split         []Share
 	Resumable     bool          // a stream may be resumed on another replica
 	SingleVersion bool          // a sample's completion comes from a single weight version
@@ -76,9 +87,17 @@
 	Models        []string
 }
 
-// NewConfiguration returns a Configuration and indexes its routes.
-func NewConfiguration(version int64, routes []Route, services map[string]Service, limits Limits) *Configuration {
-	c := &Configuration{Version: version, Routes: routes, Services: services, Limits: limits, byHost: map[string][]int{}}
+// NewConfiguration returns a Configuration and indexes its routes and API keys.
+func NewConfiguration(version int64, routes []Route, services map[string]Service, limits Limits, organisations ...Organisation) *Configuration {
+	c := &Configuration{
+		Version: version, Routes: routes, Services: services, Limits: limits, Organisations: organisations,
+		byHost: map[string][]int{}, byKey: map[string]string{},
+	}
+	for _, o := range organisations {
+		for _, digest := range o.KeyDigests {
+			c.byKey[digest] = o.Name
+		}
+	}
 	for i, r := range routes {
 		c.byHost[r.Host] = append(c.byHost[r.Host], i)
 	}
@@ -104,6 +123,12 @@
 	return nil, false
 }
 
+// OrganisationOf returns the name of the organisation that holds the API key with a digest.
+func (c *Configuration) OrganisationOf(keyDigest string) (string, bool) {
+	name, found := c.byKey[keyDigest]
+	return name, found
+}
+
 // ReplicaState is the state that a replica reports.
 type ReplicaState string
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/hornbeamtide/hornbeamtide/gossip"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
+	"github.com/hornbeamtide/hornbeamtide/organisation"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
@@ -85,6 +86,8 @@
 	Gateway          *gateway.Gateway
 	Batches          *batch.Manager
 	Waves            *waves.Manager
+	Gate             *organisation.Gate
+	Duties           *duties
 	Measures         *measure.Set
 }
 
@@ -117,7 +120,7 @@
 		return nil, fault.Wrap(dig.RootCause(err), fault.Internal, "modules can't be built", "report this defect")
 	}
 	d.registerObservers()
-	for _, service := range []interface{ Register(mux drpc.Mux) error }{d.Mirror, d.Relay, d.Batches, d.RateLimits, d.Gossip} {
+	for _, service := range []interface{ Register(mux drpc.Mux) error }{d.Mirror, d.Relay, d.Batches, d.RateLimits, d.Gossip, d.Duties} {
 		if err := service.Register(d.Server.Mux()); err != nil {
 			return nil, fault.Wrap(err, fault.Internal, "drpc services can't be registered", "report this defect")
 		}
@@ -154,7 +157,7 @@
 		return
 	}
 	d.configuration.Store(next)
-	d.log.Log(event.EdgeConfigurationInForce, event.F("version", next.Version), event.F("routes", len(next.Routes)),
+	d.log.Log(event.EdgeConfigurationInForce, event.F("version", next.Version), event.F("routes", len(next.Routes)), event.F("organisations", len(next.Organisations)),
 		event.F("revision", c.Version), event.F("from", c.From))
 }
 
@@ -191,7 +194,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
 		func(ctx context.Context) error { return d.Server.Serve(ctx, d.listeners.peer) },
-		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Quarantine.Run, d.Gossip.Run, d.reportRetirements,
+		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Quarantine.Run, d.Gossip.Run, d.Duties.runUsage, d.reportRetirements,
 	} {
 		running.Go(func() {
 			if err := run(workCtx); err != nil && workCtx.Err() == nil {
@@ -199,11 +202,9 @@
 			}
 		})
 	}
-	// Weight orders end as soon as a stop is requested, so that the lease passes to the next
-	// daemon.
-	ordersCtx, cancelOrders := context.WithCancel(ctx)
-	defer cancelOrders()
-	running.Go(func() { _ = d.Waves.Run(ordersCtx) })
+	leasesCtx, cancelLeases := context.WithCancel(ctx)
+	defer cancelLeases()
+	runUntilStop(leasesCtx, &running, func(ctx context.Context) { _ = d.Waves.Run(ctx) }, d.Duties.runReports)
 	frontServer := d.serveFront(d.listeners.front)
 	readyServer := serveHTTP(d.listeners.ready, platform.ReadyHandler(d.ready))
 	metricServer := d.serveMetrics(d.listeners.metric)
@@ -212,7 +213,7 @@
 	case <-ctx.Done():
 		d.stop(workCtx, frontServer)
 	case <-d.aborted:
-		cancelOrders()
+		cancelLeases()
 	}
 	cancelWork()
 	_ = frontServer.Close()
@@ -271,7 +272,7 @@
 
 func (d *Daemon) serveFront(listener net.Listener) *http.Server {
 	server := &http.Server{
-		Handler:           platform.NewFrontHandler(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load, d.log),
+		Handler:           platform.NewFrontHandler(d.Gateway, d.Batches, d.Gate, d.draining.Load, d.log),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	go func() { _ = server.Serve(listener) }() // ends with Shutdown
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -44,6 +44,8 @@
 	daemons       []*testDaemon
 	seeds         string
 	log           io.Writer // receives the log of all daemons at level info; nil discards it
+	organisations []map[string]any
+	adjust        func(settings *Settings) // of each daemon; may be nil
 }
 
 // testDaemon is a running daemon that can be stopped as planned or killed.
@@ -95,11 +97,13 @@
 			"TimeoutMs": 4000, "TargetLatencyMs": 300, "MaxAttempts": 3, "DueMs": 5000,
 		}
 	}
+	scores := route("scores", scoringPath, "idempotent", plainPool)
+	scores["Public"] = true
 	stream := route("chat", streamPath, "streaming", modelPool)
 	stream["Resumable"] = true
 	routes := []map[string]any{
 		route("drafts", itemPath, "rollout", modelPool), route("records", plainPath, "idempotent", plainPool),
-		route("bookings", nonIdempotentPath, "non_idempotent", plainPool), route("scores", scoringPath, "idempotent", plainPool), stream,
+		route("bookings", nonIdempotentPath, "non_idempotent", plainPool), scores, stream,
 	}
 	text, err := json.Marshal(map[string]any{
 		"Version": version, "Routes": append(routes, extra...),
@@ -107,7 +111,7 @@
 			{"Name": modelPool, "Engine": map[string]any{"Slots": 8, "Models": []map[string]any{{"Name": testModel}}}},
 			{"Name": plainPool},
 		},
-		"Limits": map[string]any{"MaxBodyBytes": 100_000},
+		"Limits": map[string]any{"MaxBodyBytes": 100_000}, "Tenants": s.organisations,
 	})
 	if err != nil {
 		s.t.Fatal(err)
@@ -124,6 +128,9 @@
 		Orders: OrderSettings{LeaseDuration: time.Second, ReplicasCheckTokens: true},
 		Log:    LogSettings{Level: "error"},
 	}
+	if s.adjust != nil {
+		s.adjust(&settings)
+	}
 	var output io.Writer = io.Discard
 	if s.log != nil {
 		output, settings.Log.Level = s.log, "info"
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -30,6 +30,9 @@
 		{"weights", "orders in progress, replicas lagging behind the newest announced version, and whether this daemon holds the lease", func() any { return d.Waves.Counts() }},
 		{"limited_replicas", "replicas that name a request limit: requests per second that they accept from all daemons together, and requests of this daemon since the limit was learned", func() any { return d.RateLimits.Limited() }},
 		{"quarantined_requests", "requests that no daemon sends to replicas, since replicas crashed under them", func() any { return d.Quarantine.Quarantined() }},
+		{"api_keys", "decisions on requests of organisations since the start: admitted, refused with 401, refused with 503 because the configuration may be outdated, refused with 403", func() any { return d.Gate.Counts() }},
+		{"proof_age_ms", "ms since the configuration was last proven to be the newest; an hour if it never was or no proofs are asked for", func() any { return d.Mirror.ProofAge().Milliseconds() }},
+		{"duties", "usage reports: the daemon that holds the duty, the last windows and this daemon's counts by organisation; null if none are asked for", func() any { return d.Duties.dump() }},
 		{"configuration_version", "version in force; 0 while none is", func() any {
 			if c := d.configuration.Load(); c != nil {
 				return c.Version
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,9 +24,11 @@
 	StopTime      time.Duration
 	MemoryMB      int // of the process, 0 for no limit
 
-	Store  StoreSettings
-	Orders OrderSettings
-	Log    LogSettings
+	Store         StoreSettings
+	Orders        OrderSettings
+	Organisations OrganisationSettings
+	Duties        DutySettings
+	Log           LogSettings
 }
 
 // StoreSettings holds the [store] section.
@@ -43,6 +45,19 @@
 	ReplicasCheckTokens bool
 }
 
+// OrganisationSettings holds the [organisations] section.
+type OrganisationSettings struct {
+	WithdrawalTime time.Duration // after which no request with a withdrawn API key may run; 0 for no bound
+}
+
+// DutySettings holds the [duties] section.
+type DutySettings struct {
+	Address        string        // of the platform's API, "" for no duties
+	CallsPerSecond float64       // that the API accepts from all daemons together, 0 for no limit
+	UsageWindow    time.Duration // 0 for no usage reports
+	UsageDue       time.Duration // from the end of a window until its report is due
+}
+
 // LogSettings holds the [log] section.
 type LogSettings struct {
 	Level  string
@@ -77,7 +92,7 @@
 
 // Sections returns the schema of all sections and keys.
 func Sections() []inifile.SectionSchema[Settings] {
-	return []inifile.SectionSchema[Settings]{edgeSection(), storeSection(), ordersSection(), logSection()}
+	return []inifile.SectionSchema[Settings]{edgeSection(), storeSection(), ordersSection(), organisationsSection(), dutiesSection(), logSection()}
 }
 
 func edgeSection() inifile.SectionSchema[Settings] {
@@ -123,6 +138,29 @@
 	}
 }
 
+func organisationsSection() inifile.SectionSchema[Settings] {
+	return inifile.SectionSchema[Settings]{
+		Name:        "organisations",
+		Description: "Organisations and their API keys, where the configuration has any.",
+		Keys: []inifile.KeySchema[Settings]{
+			inifile.Duration("withdrawal", 0, 0, maxDuration, "Time after which no request with a withdrawn API key runs, also on a daemon that is cut off; 0 for no such bound.", func(s *Settings) *time.Duration { return &s.Organisations.WithdrawalTime }),
+		},
+	}
+}
+
+func dutiesSection() inifile.SectionSchema[Settings] {
+	return inifile.SectionSchema[Settings]{
+		Name:        "duties",
+		Description: "Calls to the platform's API that one daemon at a time makes for all; the lease is that of [orders].",
+		Keys: []inifile.KeySchema[Settings]{
+			inifile.OptionalAddress("address", "Address of the platform's API; empty for no duties.", func(s *Settings) *string { return &s.Duties.Address }),
+			inifile.Float("calls", "calls per second", 0, 0, 1e6, "Calls that the platform's API accepts from all daemons together; 0 for no limit.", func(s *Settings) *float64 { return &s.Duties.CallsPerSecond }),
+			inifile.Duration("usage_window", 0, 0, maxDuration, "Length of the windows for which usage is reported; 0 for no reports.", func(s *Settings) *time.Duration { return &s.Duties.UsageWindow }),
+			inifile.Duration("usage_due", 10*time.Second, minDuration, maxDuration, "Time from the end of a window until its report is due.", func(s *Settings) *time.Duration { return &s.Duties.UsageDue }),
+		},
+	}
+}
+
 func logSection() inifile.SectionSchema[Settings] {
 	return inifile.SectionSchema[Settings]{
 		Name:        "log",
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -9,6 +9,7 @@
 	"github.com/hornbeamtide/hornbeamtide/gossip"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
+	"github.com/hornbeamtide/hornbeamtide/organisation"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
@@ -37,8 +38,19 @@
 		placement.NewTracker,
 		platform.NewReplicaTransport,
 		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
-			return mirror.New(mirror.Config{Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds()}, store, conns, d.mirrorMembers, d.log)
+			return mirror.New(mirror.Config{
+				Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds(),
+				ProvenKey: platform.ConfigurationKey, ProofInterval: s.Organisations.WithdrawalTime / proofsPerWithdrawalTime,
+			}, store, conns, d.mirrorMembers, d.log)
 		},
+		func(m *mirror.Mirror) *organisation.Gate {
+			age := m.Age
+			if s.Organisations.WithdrawalTime > 0 {
+				age = m.ProofAge
+			}
+			return organisation.NewGate(organisation.Config{WithdrawalTime: s.Organisations.WithdrawalTime, Configuration: d.configuration.Load, Age: age})
+		},
+		func(store *relay.Store, conns *peer.Pool) *duties { return newDuties(d, store, conns, d.log) },
 		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool) *relay.Store {
 			return relay.New(store, conns, d.peerAddresses, m.Source, d.log)
 		},
@@ -54,8 +66,10 @@
 			guard.OnChange(g.Notify)
 			return g
 		},
-		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, measures *measure.Set) *gateway.Gateway {
-			return gateway.New(backend, tracker, guard, measures, d.log)
+		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, usage *duties, measures *measure.Set) *gateway.Gateway {
+			g := gateway.New(backend, tracker, guard, measures, d.log)
+			g.OnRun(usage.record)
+			return g
 		},
 		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
 			return roster.NewManager(roster.Config{
@@ -77,6 +91,9 @@
 }
 
 const (
+	// proofsPerWithdrawalTime is how often the configuration is proven to be the newest within the
+	// withdrawal time of API keys, so that a few failed reads or a change of the collector refuse nobody.
+	proofsPerWithdrawalTime = 5
 	// urgentWatchWait is the watch duration of kinds whose changes must take effect within two
 	// seconds, even if a watch stops responding: with the delay between calls and the margin for
 	// the response, a change takes at most 1.85 s.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -18,6 +18,8 @@
 // The error kinds.
 const (
 	Invalid      Kind = "invalid"       // the input is malformed or out of range
+	Unauthorized Kind = "unauthorized"  // the caller has no valid API key
+	Forbidden    Kind = "forbidden"     // the object belongs to another organisation
 	NotFound     Kind = "not_found"     // the named object does not exist
 	Conflict     Kind = "conflict"      // a conditional update lost against another writer
 	Unavailable  Kind = "unavailable"   // the peer, server or platform did not respond
@@ -41,7 +43,7 @@
 // Kinds returns all error kinds.
 func Kinds() []Kind {
 	return []Kind{
-		Invalid, NotFound, Conflict, Unavailable, Ambiguous, Overloaded, Deadline, Canceled, Fenced,
+		Invalid, Unauthorized, Forbidden, NotFound, Conflict, Unavailable, Ambiguous, Overloaded, Deadline, Canceled, Fenced,
 		Truncated, Mismatched, Untagged, Stale, Draining, Isolated, Claimed, Unrecognized, Internal, Unsupported,
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,6 +27,7 @@
 		Replica: lease.Replica, RequestID: p.request.ID, Method: p.request.Method, Target: p.request.Target,
 		Host: p.request.Host, Header: p.request.Header, Body: p.request.Body,
 		RemainingTime: time.Until(p.deadline), ResumeAfter: p.request.ResumeAfter, Retryable: isRetryable(p.route),
+		Organisation: p.request.Organisation,
 	})
 	p.observeHead(resp, err, time.Since(started))
 	responseStarted()
@@ -48,6 +49,7 @@
 		return false, fault.New(fault.Overloaded, "replica "+lease.ID+" is full", "try another replica", fault.WithOutcome(fault.NotRun))
 	}
 	p.countAttempt(false)
+	p.countRun(started)
 	if resp.Status < 300 && !resp.Signed {
 		lease.Done(placement.Failed, nil, 0)
 		return false, fault.New(fault.Mismatched, "replica "+lease.ID+" did not sign its response", "try another replica")
@@ -77,6 +79,19 @@
 	}
 }
 
+// countRun counts the request once. A stream begins to run with its first event, which comes right
+// after the head of the response; any other request when it reaches its replica.
+func (p *pendingRequest) countRun(sentAt time.Time) {
+	if p.isCounted {
+		return
+	}
+	p.isCounted = true
+	if p.route.Kind == catalog.Streaming {
+		sentAt = time.Now()
+	}
+	p.onRun(p.request.Organisation, sentAt)
+}
+
 // failureOutcome returns the outcome of an attempt without a complete response. It does not
 // count against the replica if the caller disconnected, if requests of the route time out on other
 // replicas too, or if the request was not sent because of the replica's request limit.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,11 @@
 	Model       string // required model, "" for any
 	Caller      string // address of the caller, without the port
 	AffinityKey string // key of requests that share a prompt
+	// Organisation is the one that sent the request, "" for none.
+	Organisation string
+	// Admit returns an error with outcome fault.NotRun if the request may not be sent to a replica now;
+	// nil for requests that always may.
+	Admit func() error
 }
 
 // Gateway forwards requests.
@@ -54,6 +59,7 @@
 	timeouts *timeoutTracker
 	budget   *retryBudget
 	counts   counters
+	onRun    func(organisation string, begunAt time.Time)
 }
 
 // Guard keeps requests that crash replicas away from them. Requests with the same fingerprint are the
@@ -76,9 +82,16 @@
 
 // New returns a gateway.
 func New(backend upstream.Backend, tracker *placement.Tracker, guard Guard, measures *measure.Set, log *event.Logger) *Gateway {
-	return &Gateway{backend: backend, tracker: tracker, guard: guard, measures: measures, log: log, timeouts: newTimeoutTracker(), budget: newRetryBudget()}
+	return &Gateway{
+		backend: backend, tracker: tracker, guard: guard, measures: measures, log: log, timeouts: newTimeoutTracker(), budget: newRetryBudget(),
+		onRun: func(string, time.Time) {},
+	}
 }
 
+// OnRun calls f once for each request that a replica began to run, with the organisation that sent it
+// and the time at which it began. It must be called before Forward. f must not block.
+func (g *Gateway) OnRun(f func(organisation string, begunAt time.Time)) { g.onRun = f }
+
 // pendingRequest is the state of a request that is being forwarded.
 type pendingRequest struct {
 	*Gateway
@@ -90,6 +103,7 @@
 	tried      map[string]bool
 	sentCount  int    // number of replicas to which the request was sent
 	mayHaveRun bool   // a replica may have run the request
+	isCounted  bool   // onRun was called
 	lastErr    error  // error of the last failed attempt
 	servedBy   string // ID of the replica that responded
 	status     int    // HTTP status of the response
@@ -145,6 +159,9 @@
 		if p.sentCount >= p.route.MaxAttempts {
 			return p.finalError()
 		}
+		if err := p.admit(); err != nil {
+			return p.guardError(err)
+		}
 		if err := p.checkGuard(); err != nil {
 			return p.guardError(err)
 		}
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -27,7 +27,16 @@
 	return p.guard.Check(p.fingerprint(), healthy, listed)
 }
 
-// guardError returns the error of a request that the guard refused. Earlier attempts may have run.
+// admit returns an error if the request may not be sent to a replica any more.
+func (p *pendingRequest) admit() error {
+	if p.request.Admit == nil {
+		return nil
+	}
+	return p.request.Admit()
+}
+
+// guardError returns the error of a request that may not be sent to a replica now. Earlier attempts may
+// have run.
 func (p *pendingRequest) guardError(err error) error {
 	if !p.mayHaveRun {
 		return err
--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -51,8 +51,9 @@
 	version             int64
 	highestFencingToken int64
 	acceptedOrders      int64
-	runs                map[string]int     // by request ID
-	startEvents         map[string][]int64 // by request ID: for each run, the event after which it began
+	runs                map[string]int         // by request ID
+	startEvents         map[string][]int64     // by request ID: for each run, the event after which it began
+	headers             map[string]http.Header // of the last request by its ID
 	running             int
 	orderHolders        []string // Holder of each accepted order
 	arrivals            []time.Time
@@ -61,7 +62,7 @@
 
 // Start starts a replica on a free loopback port.
 func Start(config Config) *Replica {
-	r := &Replica{Config: config, version: 1, runs: map[string]int{}, startEvents: map[string][]int64{}}
+	r := &Replica{Config: config, version: 1, runs: map[string]int{}, startEvents: map[string][]int64{}, headers: map[string]http.Header{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /hornbeamtide/report", r.handleReport)
 	mux.HandleFunc("POST /hornbeamtide/order", r.handleOrder)
@@ -122,6 +123,13 @@
 	return r.runs[id]
 }
 
+// Headers returns the headers of the last request with an ID, nil if there was none.
+func (r *Replica) Headers(id string) http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.headers[id].Clone()
+}
+
 // TotalRuns returns how many requests ran.
 func (r *Replica) TotalRuns() int {
 	r.mu.Lock()
@@ -186,6 +194,7 @@
 	r.mu.Lock()
 	f, version := r.faults, r.version
 	r.arrivals = append(r.arrivals, time.Now())
+	r.headers[id] = req.Header.Clone()
 	after, _ := strconv.ParseInt(req.Header.Get("Last-Event-Id"), 10, 64) // 0 if the header is absent: from the start
 	if !f.Full {
 		r.runs[id]++
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,6 +28,8 @@
 	Retryable bool
 	// Deferrable means that the request can wait; others are sent first.
 	Deferrable bool
+	// Organisation is the one for which the replica runs the request, "" for none.
+	Organisation string
 }
 
 // Response is a replica's response. Body must be closed. Reading a truncated body returns an
