placement: nothing new is placed on a replica that announced that it is leaving

So far only the store's entry counted, which is late or missing when a daemon is cut off from the store.

Package placement marks the incarnation (ID, start time, address): nothing is placed on it, even if no other replica is left, whatever entry the store has. The fake replica has a fault Leaving.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -40,6 +40,7 @@
 		{"heard_age_ms", "ms since another daemon last called this one or responded to it", func() any { return d.Mirror.SinceLastContact().Milliseconds() }},
 		{"members", "known daemons, including this one", func() any { return len(d.members()) }},
 		{"replicas", "known replicas", func() any { return len(d.Mirror.Objects(platform.ReplicaKind)) }},
+		{"leaving_replicas", "known replicas that get no new work, since they announced in a response that they are leaving", func() any { return d.Tracker.LeavingCount() }},
 		{"draining", "whether a planned stop is in progress", func() any { return d.draining.Load() }},
 		{"log_dropped", "log entries dropped because the reader was too slow and not yet reported in the log", func() any { return d.output.Dropped() }},
 		{"log_skipped", "log entries skipped since the start because their event exceeded its rate limit", func() any { return d.log.Skipped() }},
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -35,7 +35,11 @@
 		peer.NewServer,
 		measure.NewSet,
 		placement.NewTracker,
-		platform.NewReplicaTransport,
+		func(measures *measure.Set, tracker *placement.Tracker) *platform.ReplicaTransport {
+			transport := platform.NewReplicaTransport(measures)
+			transport.OnLeaving = tracker.MarkLeaving
+			return transport
+		},
 		func(store *platform.Client, conns *peer.Pool) *mirror.Mirror {
 			return mirror.New(mirror.Config{Self: s.ID, FailureDomain: s.FailureDomain, Kinds: mirroredKinds()}, store, conns, d.mirrorMembers, d.log)
 		},
@@ -48,8 +52,9 @@
 		func(store *relay.Store, m *mirror.Mirror, transport *platform.ReplicaTransport) *quarantine.Manager {
 			return quarantine.NewManager(quarantine.Dependencies{Store: store, Mirror: m, Members: d.members, Accepts: transport.Accepts, Log: d.log})
 		},
-		func(conns *peer.Pool, limits *ratelimit.Manager, guard *quarantine.Manager) *gossip.Manager {
-			g := gossip.NewManager(conns, d.peerAddresses, limits.Topic(), guard.Topic())
+		func(conns *peer.Pool, limits *ratelimit.Manager, guard *quarantine.Manager, tracker *placement.Tracker) *gossip.Manager {
+			g := gossip.NewManager(conns, d.peerAddresses, limits.Topic(), guard.Topic(), tracker.LeavingTopic())
+			tracker.OnLeaving(g.Notify)
 			limits.OnChange(g.Notify)
 			guard.OnChange(g.Notify)
 			return g
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -10,7 +10,7 @@
 // each filter; the first count of 0 shows the filter that left none.
 type Choice struct {
 	Listed   int // replicas of the service
-	Eligible int // of Listed: ready, not tried yet, with the weight version, without a load order in progress, request limit not used up
+	Eligible int // of Listed: ready, not leaving, not tried yet, with the weight version, without a load order in progress, request limit not used up
 	Healthy  int // of Eligible: without a recent failure
 	Free     int // of Healthy: with a free slot; of Eligible if Healthy is 0 and the request can't wait
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -111,7 +111,7 @@
 	var found []candidate
 	for _, r := range t.replicas {
 		switch {
-		case r.Service != request.Service, r.State != catalog.Ready, request.Exclude[r.ID]:
+		case r.Service != request.Service, r.State != catalog.Ready, r.isLeaving, request.Exclude[r.ID]:
 		case request.Model != "" && r.Versions[request.Model] < request.MinVersion:
 		case t.now().Before(r.heldUntil), r.isDeferred(request, t.now()):
 		default:
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -43,31 +44,44 @@
 	heldUntil           time.Time     // gets no new work until then: a load order is in progress
 	deferredUntil       time.Time     // gets no requests until then: its request limit is used up
 	waitDeferredUntil   time.Time     // gets no requests that can wait until then
+	isLeaving           bool          // gets no new work: it announced that it is leaving
 }
 
 // Tracker holds the state of the replicas of all services.
 type Tracker struct {
-	now func() time.Time
-	log *event.Logger
+	now            func() time.Time
+	bootNow        func() time.Time // for marks, which count also while the instance is suspended
+	log            *event.Logger
+	leavingChanged func() // causes other daemons to be told of leaving replicas
 
 	mu       sync.Mutex
 	replicas map[string]*replica // by ID
-	changed  chan struct{}       // closed when a replica may have become available
+	leaving  leavingMarks
+	changed  chan struct{} // closed when a replica may have become available
 }
 
 // NewTracker returns a tracker without replicas.
 func NewTracker(log *event.Logger) *Tracker {
-	return &Tracker{now: time.Now, log: log, replicas: map[string]*replica{}, changed: make(chan struct{})}
+	return &Tracker{
+		now: time.Now, bootNow: clock.BootNow, log: log, leavingChanged: func() {},
+		replicas: map[string]*replica{}, leaving: leavingMarks{}, changed: make(chan struct{}),
+	}
 }
 
 // Set adds a replica or updates its entry. A new incarnation under the same ID starts without
-// the load and failures of the previous one.
+// the load and failures of the previous one, and gets work if it did not announce itself that it is
+// leaving.
 func (t *Tracker) Set(r catalog.Replica) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.replicas[r.ID]
 	if known == nil || known.StartedMs != r.StartedMs || known.Address != r.Address {
-		t.replicas[r.ID] = &replica{Replica: r}
+		now := t.bootNow()
+		if known != nil {
+			t.leaving.setListed(incarnationOf(known.Replica), false, now)
+		}
+		t.leaving.setListed(incarnationOf(r), true, now)
+		t.replicas[r.ID] = &replica{Replica: r, isLeaving: t.leaving.has(incarnationOf(r), now)}
 		t.notifyWaiters()
 		return
 	}
@@ -79,6 +93,9 @@
 func (t *Tracker) Remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if known := t.replicas[id]; known != nil {
+		t.leaving.setListed(incarnationOf(known.Replica), false, t.bootNow())
+	}
 	delete(t.replicas, id)
 }
 
@@ -160,7 +177,7 @@
 	defer t.mu.Unlock()
 	var first time.Time
 	for _, r := range t.replicas {
-		if r.Service == service && r.State == catalog.Ready && t.now().Before(r.deferredUntil) && (first.IsZero() || r.deferredUntil.Before(first)) {
+		if r.Service == service && r.State == catalog.Ready && !r.isLeaving && t.now().Before(r.deferredUntil) && (first.IsZero() || r.deferredUntil.Before(first)) {
 			first = r.deferredUntil
 		}
 	}
--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -27,6 +27,7 @@
 	LoseOrderResponses bool          // orders take effect but get no response
 	CrashBody          string        // a request with this body ends the replica; "" for none
 	RequestLimit       float64       // named in responses: requests per second that it accepts from all daemons; 0 for none
+	Leaving            bool          // all responses announce that the replica is leaving
 }
 
 // Config configures a Replica.
@@ -173,6 +174,12 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		r.mu.Lock()
+		leaving := r.faults.Leaving
+		r.mu.Unlock()
+		if leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		next.ServeHTTP(w, req)
 	})
 }
