Limit what clients that exceed the limits take of a process

Cause: a head was bounded by its connection only (64 KiB on the front, the library's 1 MB on the ready and metric addresses, 4 MB for the first frame on the peers' port), nothing bounded all heads together, and connections that send nothing took every descriptor. A body without a length was charged 1 MiB whatever its size, against 64 MiB whatever the memory of the process.

Change: the module connlimit wraps the four listeners. Per connection it bounds the bytes and the time of a head; at the front these are MaxHeaderBytes and HeaderTimeoutMs of the configuration in force plus 12 KiB and 2 s. Per process it bounds the memory of unfinished heads, where each line is charged 128 bytes more because 16 KB of short lines took 260 KB, and the open connections, with a share for each address. Above a bound the largest unfinished request or the longest idle connection is closed; a connection whose request may run never is. Bodies are read in parts that are charged before they are filled and released when the request ends; over the budget, three eighths of memory, a request gets 503 as not run. A body that is the only one is read up to MaxBodyBytes whatever the budget. New: section [clients], metric refused_clients, event 1720.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/batch"
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/gateway"
@@ -32,9 +33,7 @@
 )
 
 const (
-	headerTimeout       = 10 * time.Second // to read a request's headers
-	idleTimeout         = 2 * time.Minute  // longer than callers keep an idle connection
-	maxHeaderBytes      = 64 << 10
+	idleTimeout         = 2 * time.Minute // longer than callers keep an idle connection
 	peerConnectTimeout  = 500 * time.Millisecond
 	peerProgressTimeout = 3 * time.Second
 	// drainNoticeTime is how long the daemon still accepts connections after a stop was
@@ -63,6 +62,8 @@
 	listeners     listeners
 	configuration atomic.Pointer[catalog.Configuration]
 	draining      atomic.Bool
+	clients       *connlimit.Limiter
+	bodies        *connlimit.Budget
 	output        *event.AsyncWriter
 	aborted       chan struct{} // closed by Abort
 }
@@ -100,13 +101,14 @@
 		bound.close()
 		return nil, err
 	}
-	d.listeners = bound
+	d.listeners = bound.limited(d.clients)
 	return d, nil
 }
 
 func build(settings Settings, output io.Writer) (*Daemon, error) {
 	d := &Daemon{settings: settings, started: time.Now(), output: event.NewAsyncWriter(output), aborted: make(chan struct{})}
 	d.log = newLogger(settings, d.output)
+	d.clients, d.bodies = d.newClientLimits()
 	container := dig.New()
 	for _, constructor := range d.constructors() {
 		if err := container.Provide(constructor); err != nil {
@@ -191,7 +193,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context) error{
 		func(ctx context.Context) error { return d.Server.Serve(ctx, d.listeners.peer) },
-		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Quarantine.Run, d.Gossip.Run, d.reportRetirements,
+		d.Mirror.Run, d.Batches.Run, d.Roster.Run, d.RateLimits.Run, d.Quarantine.Run, d.Gossip.Run, d.reportRetirements, d.clients.Run,
 	} {
 		running.Go(func() {
 			if err := run(workCtx); err != nil && workCtx.Err() == nil {
@@ -270,17 +272,14 @@
 }
 
 func (d *Daemon) serveFront(listener net.Listener) *http.Server {
-	server := &http.Server{
-		Handler:           platform.NewFrontHandler(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load, d.log),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	go func() { _ = server.Serve(listener) }() // ends with Shutdown
-	return server
+	return serveHTTP(listener, platform.NewFrontHandler(d.Gateway, d.Batches, d.configuration.Load, d.draining.Load, d.bodies, d.log))
 }
 
+// serveHTTP serves the connections of a limited listener.
 func serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(listener) }() // ends with Close
+	server := &http.Server{Handler: handler, IdleTimeout: idleTimeout, MaxHeaderBytes: libraryHeadBytes}
+	connlimit.Watch(server)
+	go func() { _ = server.Serve(listener) }() // ends with Shutdown or Close
 	return server
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,9 +24,10 @@
 	StopTime      time.Duration
 	MemoryMB      int // of the process, 0 for no limit
 
-	Store  StoreSettings
-	Orders OrderSettings
-	Log    LogSettings
+	Store   StoreSettings
+	Orders  OrderSettings
+	Clients ClientSettings
+	Log     LogSettings
 }
 
 // StoreSettings holds the [store] section.
@@ -43,6 +44,15 @@
 	ReplicasCheckTokens bool
 }
 
+// ClientSettings holds the [clients] section. Zero values stand for the defaults.
+type ClientSettings struct {
+	HeadBytes    int
+	HeadTime     time.Duration
+	HeadMemoryMB int
+	BodyMemoryMB int
+	Connections  int
+}
+
 // LogSettings holds the [log] section.
 type LogSettings struct {
 	Level  string
@@ -77,7 +87,7 @@
 
 // Sections returns the schema of all sections and keys.
 func Sections() []inifile.SectionSchema[Settings] {
-	return []inifile.SectionSchema[Settings]{edgeSection(), storeSection(), ordersSection(), logSection()}
+	return []inifile.SectionSchema[Settings]{edgeSection(), storeSection(), ordersSection(), clientsSection(), logSection()}
 }
 
 func edgeSection() inifile.SectionSchema[Settings] {
@@ -123,6 +133,26 @@
 	}
 }
 
+// Defaults that no client within the configuration's limits reaches.
+const (
+	defaultHeadBytes = 64 << 10
+	defaultHeadTime  = 10 * time.Second
+)
+
+func clientsSection() inifile.SectionSchema[Settings] {
+	return inifile.SectionSchema[Settings]{
+		Name:        "clients",
+		Description: "Clients that exceed the limits are refused, or their connection is closed.",
+		Keys: []inifile.KeySchema[Settings]{
+			inifile.Int("head_bytes", "bytes", defaultHeadBytes, 8<<10, 1<<20, "Longest request head. At the front address `MaxHeaderBytes` of the configuration in force, and some room, takes precedence.", func(s *Settings) *int { return &s.Clients.HeadBytes }),
+			inifile.Duration("head_time", defaultHeadTime, time.Second, maxDuration, "Longest time until a head is complete. At the front address `HeaderTimeoutMs` of the configuration in force, and some room, takes precedence.", func(s *Settings) *time.Duration { return &s.Clients.HeadTime }),
+			inifile.Int("head_memory", "MB", 0, 0, 1<<20, "Memory of all unfinished heads together. 0 for a sixteenth of `memory`, or 16 if that is 0.", func(s *Settings) *int { return &s.Clients.HeadMemoryMB }),
+			inifile.Int("body_memory", "MB", 0, 0, 1<<20, "Memory of all request bodies together. 0 for three eighths of `memory`, or 64 if that is 0.", func(s *Settings) *int { return &s.Clients.BodyMemoryMB }),
+			inifile.Int("connections", "connections", 0, 0, 1<<20, "Open connections of clients at all addresses: half of them at the front address, two fifths at the peer address, a twentieth each at the ready and the metric address, at least 16 each. 0 for five eighths of the descriptors, and no more than one for each 128 KB of `memory`.", func(s *Settings) *int { return &s.Clients.Connections }),
+		},
+	}
+}
+
 func logSection() inifile.SectionSchema[Settings] {
 	return inifile.SectionSchema[Settings]{
 		Name:        "log",
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -36,6 +36,9 @@
 		{"unknown key", requiredSettings + "x = 1\n", fault.Unrecognized, "s.ini:5: unknown key \"x\""},
 		{"host name", requiredSettings + "front_address = host:1\n", fault.Invalid, "s.ini:5: front_address"},
 		{"bad seed", requiredSettings + "seeds = 10.0.0.1:7, here\n", fault.Invalid, "s.ini:5: seeds"},
+		{"short head", requiredSettings + "[clients]\nhead_bytes = 100\n", fault.Invalid, "s.ini:6: head_bytes"},
+		{"no time for a head", requiredSettings + "[clients]\nhead_time = 0s\n", fault.Invalid, "s.ini:6: head_time"},
+		{"negative connections", requiredSettings + "[clients]\nconnections = -1\n", fault.Invalid, "s.ini:6: connections"},
 		{"short lease", requiredSettings + "[orders]\nlease = 1ms\n", fault.Invalid, "s.ini:6: lease"},
 	}
 	for _, row := range table {
--- a/event/edge.go
+++ b/event/edge.go
@@ -12,4 +12,5 @@
 	EdgeReplicaRemoved       = define(1705, logrus.InfoLevel, "replica entry removed", "The replica gets no new work.")
 	EdgeEntryUnreadable      = define(1706, logrus.WarnLevel, "replica entry is unreadable", "Another writer created the entry, or fields are missing; the other entries stay valid.")
 	EdgeInstanceRetired      = define(1707, logrus.InfoLevel, "instance retirement completed", "The instance's disk holds no data that must be kept; the instance may be removed.")
+	EdgeClientRefused        = define(1720, logrus.WarnLevel, "client exceeded a limit", "The connection of client at address was closed without running its request; reason is one of those of the metric refused_clients. Find the client if it repeats; raise the limits in [clients] if the client is an ordinary one.")
 )
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -50,9 +51,31 @@
 // HandleRPC implements drpc.Handler.
 func (h countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
 	h.counts.calls.Add(1)
+	if o := observerOf(stream); o != nil {
+		o.CallStarted()
+		defer o.CallEnded()
+	}
 	return h.handler.HandleRPC(stream, rpc)
 }
 
+// CallObserver is implemented by connections of the listener of Serve that need to know when a call
+// has arrived and when it has ended.
+type CallObserver interface {
+	CallStarted()
+	CallEnded()
+}
+
+// observerOf returns the observer of a stream's connection, nil for none.
+func observerOf(stream drpc.Stream) CallObserver {
+	if raw, ok := drpcctx.Transport(stream.Context()); ok {
+		if t, ok := raw.(*transport); ok {
+			o, _ := t.Conn.(CallObserver)
+			return o
+		}
+	}
+	return nil
+}
+
 type countingListener struct {
 	net.Listener
 	counts *counters
