connlimit: keep memory for small bodies, and end bodies that stop

Cause: clients that begin large bodies and do not end them held the whole memory of bodies, so that ordinary requests with a body got 503 for as long as these clients stayed. A body had no bound of time.

Change: an eighth of the budget is kept for bodies up to 64 KB. A large body is admitted over the budget only if it is the only large one, also beside small ones.

--- a/connlimit/decide.go
+++ b/connlimit/decide.go
@@ -28,7 +28,7 @@
 type Bounds struct {
 	HeadBytes int64
 	HeadTime  time.Duration // until a head is complete
-	IdleTime  time.Duration // without a byte between two requests; 0 for no bound
+	IdleTime  time.Duration // without a byte of a body or between two requests; 0 for no bound
 	FirstOnly bool          // the bounds of a head apply only to the first one of a connection
 }
 
@@ -46,13 +46,13 @@
 }
 
 // expired returns the reason for which a connection must be closed at a time, "" for none. It
-// answers clients that send their head slowly or send nothing.
+// answers clients that send their head slowly, send nothing, or begin a body and stop.
 func expired(l Load, b Bounds, now time.Time) Reason {
 	switch {
 	case l.State == Head && !(b.FirstOnly && l.Served) && now.Sub(l.Began) > b.HeadTime,
 		l.State == Waiting && !l.Served && now.Sub(l.Began) > b.HeadTime:
 		return HeadTime
-	case l.State == Waiting && l.Served && b.IdleTime > 0 && now.Sub(l.LastByte) > b.IdleTime:
+	case (l.State == Body || (l.State == Waiting && l.Served)) && b.IdleTime > 0 && now.Sub(l.LastByte) > b.IdleTime:
 		return IdleTime
 	}
 	return ""
--- a/connlimit/decide_test.go
+++ b/connlimit/decide_test.go
@@ -76,7 +76,8 @@
 		{"idle between requests", served(at(Waiting, 0, 0)), bounds, time.Minute, false, ""},
 		{"idle for too long", served(at(Waiting, 0, 0)), bounds, time.Minute + 1, false, IdleTime},
 		{"running", served(at(Running, 0, 0)), bounds, time.Hour, false, ""},
-		{"body under way", served(at(Body, 0, 0)), bounds, time.Hour, false, ""},
+		{"body under way", served(at(Body, 0, 0)), bounds, time.Minute, false, ""},
+		{"body without a byte for too long", served(at(Body, 0, 0)), bounds, time.Minute + 1, false, IdleTime},
 		{"first frame of a peer", at(Head, 101, 0), peer, 5*time.Second + 1, true, HeadTime},
 		{"later frame of a peer", served(at(Head, 101, 0)), peer, time.Hour, false, ""},
 		{"idle peer", served(at(Waiting, 0, 0)), peer, time.Hour, false, ""},
@@ -127,18 +128,57 @@
 }
 
 // Many bodies together must stay within the budget, and a single one must be read whatever the budget.
-func TestBudgetAdmitsASingleBody(t *testing.T) {
-	b := NewBudget(100)
-	first, second := b.Holder(150), b.Holder(150)
-	if !first.Take(60) || !first.Take(90) || first.Take(1) {
-		t.Error("a single body may take 150 bytes")
+func TestBudgetAdmitsASingleLargeBody(t *testing.T) {
+	const mb = 1 << 20
+	b := NewBudget(8 * mb)
+	ordinary, first, second := b.Holder(12*mb), b.Holder(12*mb), b.Holder(12*mb)
+	if !ordinary.Take(smallBody) || !first.Take(5*mb) || !first.Take(7*mb) || first.Take(1) {
+		t.Error("a single large body may take 12 MB, also beside a small one")
 	}
-	if second.Take(1) {
-		t.Error("a second body was admitted beside a large one")
+	if second.Take(2 * smallBody) {
+		t.Error("a second large body was admitted beside one over the budget")
 	}
 	first.Release()
 	first.Release()
-	if !second.Take(60) || !first.Take(40) || first.Take(1) || second.Take(1) || b.Used() != 100 || b.Refused() != 4 {
+	ordinary.Release()
+	if !second.Take(4*mb) || !first.Take(3*mb) || first.Take(mb) || second.Take(mb) || b.Used() != 7*mb || b.Refused() != 4 {
 		t.Errorf("used %d, refused %d", b.Used(), b.Refused())
 	}
 }
+
+// Clients that begin large bodies and do not end them must not keep ordinary requests from being
+// served, and clients with many small bodies must stay within the budget.
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	const mb = 1 << 20
+	b := NewBudget(8 * mb)
+	for b.Holder(8 * mb).Take(mb) {
+	}
+	if b.Used() != 7*mb {
+		t.Errorf("large bodies took %d bytes", b.Used())
+	}
+	small := 0
+	for ; b.Holder(8 * mb).Take(smallBody); small++ {
+	}
+	if small != mb/smallBody || b.Used() != 8*mb {
+		t.Errorf("%d small bodies, %d bytes", small, b.Used())
+	}
+	grown := NewBudget(8 * mb)
+	h := grown.Holder(0)
+	for range 2 {
+		if !h.Take(smallBody) {
+			t.Error("a body alone can't grow")
+		}
+	}
+	if grown.used != (usage{large: 2 * smallBody}) {
+		t.Errorf("a body that grew is counted as %+v", grown.used)
+	}
+	if h.Release(); grown.used != (usage{}) {
+		t.Errorf("%+v after the release", grown.used)
+	}
+	many := NewBudget(8 * mb)
+	for many.Holder(0).Take(smallBody) {
+	}
+	if many.Used() != 8*mb || many.Holder(0).Take(2*smallBody) {
+		t.Errorf("small bodies took %d bytes", many.Used())
+	}
+}
--- a/edge/clients.go
+++ b/edge/clients.go
@@ -14,7 +14,8 @@
 	// libraryHeadBytes is the bound of a head in net/http, which can't follow the configuration. The
 	// bounds of connlimit are lower.
 	libraryHeadBytes = 64 << 20
-	// unusedTime is the longest time between two requests on a connection. net/http closes a
+	// unusedTime is the longest time between two requests on a connection, and between two bytes of a
+	// body: a client that begins a body and stops would keep its memory. Between requests, net/http closes a
 	// connection earlier, after idleTimeout, unless a part of the next head came with the last request.
 	unusedTime = idleTimeout + 10*time.Second
 	// bodyMemoryReason counts refused request bodies beside the reasons of connlimit.
--- a/edge/crowdtest/limits_test.go
+++ b/edge/crowdtest/limits_test.go
@@ -79,6 +79,37 @@
 	d.check()
 }
 
+// Large bodies that do not end took all memory for bodies, so that ordinary requests with a body were
+// refused for as long as the clients stayed.
+func TestOrdinaryBodyIsServedBesideLargeOnes(t *testing.T) {
+	d := startDaemon(t)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		crowd{address: d.front, clients: 20, head: chunkedHead, next: chunk, maxBytes: 6 << 20, hold: 3 * holdTime}.run()
+	}()
+	time.Sleep(holdTime) // the bodies have arrived, and their clients wait
+	// Bodies of 100 KB take what the large ones could not.
+	fillers := make(chan struct{})
+	go func() {
+		defer close(fillers)
+		crowd{address: d.front, clients: 60, head: chunkedHead, next: chunk, maxBytes: 100 << 10, hold: 2 * holdTime}.run()
+	}()
+	defer func() { <-fillers }()
+	time.Sleep(holdTime)
+	status, err := sendSlowly(d.front, requestHead+"Content-Length: 30000\r\n\r\n", 0, strings.Repeat("x", 30000))
+	select {
+	case <-ended:
+		t.Fatal("the large bodies have ended")
+	default:
+	}
+	if status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+	<-ended
+	d.check()
+}
+
 // endless is a reader without end.
 type endless struct{}
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -30,7 +30,7 @@
 		{"weights", "orders in progress, replicas lagging behind the newest announced version, and whether this daemon holds the lease", func() any { return d.Waves.Counts() }},
 		{"limited_replicas", "replicas that name a request limit: requests per second that they accept from all daemons together, and requests of this daemon since the limit was learned", func() any { return d.RateLimits.Limited() }},
 		{"quarantined_requests", "requests that no daemon sends to replicas, since replicas crashed under them", func() any { return d.Quarantine.Quarantined() }},
-		{"refused_clients", "clients refused since the start, by reason: `head_bytes` (head too long), `head_time` (head not complete in time), `idle_time` (no request for too long), `head_memory` (largest of too many unfinished heads), `connections` (longest idle of too many connections), `all_busy` (new connection while all others had a request running), `body_memory` (memory of request bodies used up)", func() any { return d.refusedClients() }},
+		{"refused_clients", "clients refused since the start, by reason: `head_bytes` (head too long), `head_time` (head not complete in time), `idle_time` (no byte of a request or its body for too long), `head_memory` (largest of too many unfinished heads), `connections` (longest idle of too many connections), `all_busy` (new connection while all others had a request running), `body_memory` (memory of request bodies used up)", func() any { return d.refusedClients() }},
 		{"configuration_version", "version in force; 0 while none is", func() any {
 			if c := d.configuration.Load(); c != nil {
 				return c.Version
