placement: the speed that a replica reports now counts in the choice

Cause: replicas of some services report a fourth figure with their load, how long work takes there at this moment. The adapter took such a report for malformed and ignored all of it, so these replicas had no known load.

Replicas that don't report it are chosen as before.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -29,8 +29,9 @@
 type candidate struct {
 	*replica
 
-	load  float64 // estimated requests of all daemons
-	slots int
+	load     float64 // estimated requests of all daemons
+	slots    int
+	slowdown float64 // expected time of work now, relative to usual
 }
 
 // Pick chooses a replica and counts the request there. It returns nil if no replica can take
@@ -115,7 +116,10 @@
 		case request.Model != "" && r.Versions[request.Model] < request.MinVersion:
 		case t.now().Before(r.heldUntil), r.isDeferred(request, t.now()):
 		default:
-			found = append(found, candidate{replica: r, load: t.currentLoad(r), slots: slotCount(r)})
+			found = append(found, candidate{
+				replica: r, load: t.currentLoad(r), slots: slotCount(r),
+				slowdown: expectedSlowdown(r.load.Slowdown, t.now().Sub(r.loadReportedAt)),
+			})
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
@@ -185,13 +189,14 @@
 // and gets no requests by affinity.
 const slowReplicaFactor = 1.5
 
-// slowness returns the candidate's time per unit of work relative to the median, at least 0.5,
-// or 1 if unknown.
+// slowness returns the candidate's expected time per unit of work relative to the median of the usual
+// times, at least 0.5. Its usual time counts as the median if it is unknown.
 func slowness(c candidate, median float64) float64 {
-	if c.timePerUnit == 0 || median == 0 {
-		return 1
+	usual := 1.0
+	if c.timePerUnit > 0 && median > 0 {
+		usual = c.timePerUnit / median
 	}
-	return max(c.timePerUnit/median, 0.5)
+	return max(usual*c.slowdown, 0.5)
 }
 
 // cost increases with the requests that share the replica's batch and with its slowness.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -264,6 +264,9 @@
 		r.unhealthyUntil = t.now().Add(delay)
 		t.log.Log(event.PlacementSuspected, event.F("replica", l.ID), event.F("failures", r.consecutiveFailures), event.F("for_ms", delay.Milliseconds()))
 	}
+	if load != nil {
+		timePerUnit = usualTime(timePerUnit, load.Slowdown)
+	}
 	r.observeTimePerUnit(timePerUnit)
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,6 +53,9 @@
 // the number of requests that it runs at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes there at this moment relative to usual: 1 is as usual, 2 twice
+	// as long. It changes many times a second. 0 if the replica does not report it.
+	Slowdown float64
 }
 
 // ErrRateLimited means that the request was not sent, since the replica accepts only so many
