batch: a planned stop hands over results that are not stored, when the batch can be taken over

Cause: a daemon that was stopped handed over the completions of unfinished items only. It also stopped its batches at once, while no other daemon could take them over because the store was down. Failures of an item were counted anew after each hand-over.

Change: complete items go over with their score, and failed attempts with their number; the batch runs on until the store responds or 2.5 s of the stop time are left; a log without an unsettled write is not contested. Reads also ask daemons after this one in the order.

Result: TestHandOverKeepsResultsThatAreNotStored fails without the change.

--- a/batch/carry_over.go
+++ b/batch/carry_over.go
@@ -16,6 +16,7 @@
 		}
 		for id, completion := range b.run.copyCompletions() {
 			if wanted[id] && completion.satisfies(job.MinVersion) && (completions[id] == nil || len(completions[id].Events) < len(completion.Events)) {
+				completion.Score, completion.Failures = "", 0 // an item is scored and counted anew in each batch
 				completions[id] = completion
 			}
 		}
@@ -47,5 +48,7 @@
 }
 
 func (c *Completion) copy() *Completion {
-	return &Completion{Events: append([]string(nil), c.Events...), Versions: append([]int64(nil), c.Versions...), Complete: c.Complete}
+	copied := *c
+	copied.Events, copied.Versions = append([]string(nil), c.Events...), append([]int64(nil), c.Versions...)
+	return &copied
 }
--- a/batch/drain.go
+++ b/batch/drain.go
@@ -4,13 +4,25 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
-// Drain hands the batches that this daemon runs over to other daemons, with the completions
-// of their unfinished items, until ctx ends. Batches are handed over concurrently, since each may
+const (
+	// storeCheckInterval is the time between two checks whether the store responds, and
+	// storeCheckTimeout bounds one.
+	storeCheckInterval = 300 * time.Millisecond
+	storeCheckTimeout  = 700 * time.Millisecond
+	// handOverReserve is the part of the stop time that is kept for the hand-over itself.
+	handOverReserve = 2500 * time.Millisecond
+)
+
+// Drain hands the batches that this daemon runs over to other daemons, with the completions of the items
+// whose results are not in the store, until ctx ends. Batches are handed over concurrently, since each may
 // meet a daemon that does not respond.
 func (m *Manager) Drain(ctx context.Context) {
 	m.mu.Lock()
@@ -29,10 +41,32 @@
 	handOvers.Wait()
 }
 
+// awaitStore waits until the store responds, so that another daemon can take the batch over, or until
+// only handOverReserve is left of ctx. Load pattern: a planned stop during an outage of the store. A
+// daemon that takes a batch over must read its log first, so a batch that is handed over too early runs
+// nowhere until the store is back.
+func (m *Manager) awaitStore(ctx context.Context, id string) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-handOverReserve))
+		defer cancel()
+	}
+	for ctx.Err() == nil {
+		checkCtx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
+		_, err := m.store.Get(checkCtx, endKey(id))
+		cancel()
+		if err == nil || fault.Is(err, fault.NotFound) {
+			return
+		}
+		clock.Sleep(ctx, storeCheckInterval)
+	}
+}
+
 func (m *Manager) handOver(ctx context.Context, b *batchState) {
 	m.mu.Lock()
 	r := b.run
 	m.mu.Unlock()
+	m.awaitStore(ctx, r.job.ID)
 	completions := r.stop()
 	m.mu.Lock()
 	b.run = nil
@@ -49,20 +83,21 @@
 		if id == m.self || peers[id] == "" || ctx.Err() != nil {
 			continue
 		}
-		if m.handOverTo(ctx, peers[id], r.job.ID, value) == nil {
+		request := &batchpb.JobRequest{Id: r.job.ID, Json: value, Settled: r.results.isSettled()}
+		if m.handOverTo(ctx, peers[id], request) == nil {
 			m.log.Log(event.BatchHandedOver, event.F("batch", r.job.ID), event.F("to", id), event.F("texts", len(completions)))
 			return
 		}
 	}
 }
 
-func (m *Manager) handOverTo(ctx context.Context, address, id string, completions []byte) error {
+func (m *Manager) handOverTo(ctx context.Context, address string, request *batchpb.JobRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	conn, err := m.conns.Conn(ctx, address)
 	if err != nil {
 		return err
 	}
-	_, err = batchpb.NewDRPCBatchClient(conn).TakeOver(ctx, &batchpb.JobRequest{Id: id, Json: completions})
+	_, err = batchpb.NewDRPCBatchClient(conn).TakeOver(ctx, request)
 	return err
 }
--- /dev/null
+++ b/batch/drain_test.go
@@ -0,0 +1,159 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/mirror"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
+	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
+)
+
+// outageStore is a store that refuses all calls while it is down.
+type outageStore struct {
+	objectapi.ObjectStore
+
+	down atomic.Bool
+	gets atomic.Int64
+}
+
+func (s *outageStore) refuse() error {
+	if s.down.Load() {
+		return fault.New(fault.Unavailable, "down", "", fault.WithOutcome(fault.NotRun))
+	}
+	return nil
+}
+
+// Get implements objectapi.ObjectStore.
+func (s *outageStore) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	s.gets.Add(1)
+	if err := s.refuse(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return s.ObjectStore.Get(ctx, key)
+}
+
+// Create implements objectapi.ObjectStore.
+func (s *outageStore) Create(ctx context.Context, key string, value []byte) (objectapi.Object, error) {
+	if err := s.refuse(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return s.ObjectStore.Create(ctx, key, value)
+}
+
+func newDrainManager(store objectapi.ObjectStore) *Manager {
+	return NewManager(Dependencies{
+		Self: "d", Store: store, Tracker: placement.NewTracker(nil), MemberAddresses: func() map[string]string { return nil },
+		Mirror:        mirror.New(mirror.Config{Kinds: []mirror.Kind{{Name: KindBatches}, {Name: KindBatchEnds}}}, store, nil, nil, nil),
+		Configuration: func() *catalog.Configuration { return nil },
+	})
+}
+
+// handedOver returns completions as another daemon receives them.
+func handedOver(t *testing.T, completions map[string]*Completion) map[string]*Completion {
+	t.Helper()
+	value, err := json.Marshal(completions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received map[string]*Completion
+	if err := json.Unmarshal(value, &received); err != nil {
+		t.Fatal(err)
+	}
+	return received
+}
+
+// Guards against results that a planned stop throws away because the store does not have them yet, for
+// example in an outage: half of a step was generated again after the hand-over. The other daemon lists
+// them without a request to a replica or a scoring server.
+func TestHandOverKeepsResultsThatAreNotStored(t *testing.T) {
+	job := Job{ID: "b", Items: []Item{{ID: "i1", Group: "g", Path: "/x", Scorer: &Scorer{ID: "s"}}, {ID: "i2", Group: "g", Path: "/x"}}}
+	from := newDrainManager(memstore.New())
+	r := from.start(job, newResultLog("b", from.store, nil), nil)
+	r.setCompletion("i1", Completion{Events: []string{"a", "b"}, Versions: []int64{3}, Complete: true})
+	r.finish(&job.Items[0], Result{ID: "i1", State: Completed, Output: "a\nb", Versions: []int64{3}, Score: "score"})
+	r.recordItemFailure("i2")
+	completions := handedOver(t, r.stop())
+	if got := completions["i2"]; got == nil || got.Failures != 1 {
+		t.Errorf("completion %+v of the item that failed once; want its failure counted on", got)
+	}
+
+	to := newDrainManager(memstore.New())
+	log := newResultLog("b", to.store, nil)
+	resumed := to.start(job, log, completions)
+	defer resumed.stop()
+	for end := time.Now().Add(10 * time.Second); log.confirmedCount() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the result was not listed")
+		}
+	}
+	results, _ := log.page(0)
+	if len(results) != 1 || results[0].ID != "i1" || results[0].Output != "a\nb" || results[0].Score != "score" {
+		t.Errorf("results %+v", results)
+	}
+	if got := resumed.recordItemFailure("i2"); got != 2 {
+		t.Errorf("failure %d of the item, want the second", got)
+	}
+}
+
+// Guards against a batch that runs nowhere: a daemon that is stopped during an outage of the store keeps
+// running its batches until another daemon can take them over, or until its stop time ends.
+func TestBatchRunsOnUntilItCanBeTakenOver(t *testing.T) {
+	store := &outageStore{ObjectStore: memstore.New()}
+	store.down.Store(true)
+	m := newDrainManager(store)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	waited := make(chan time.Duration, 1)
+	start := time.Now()
+	go func() { m.awaitStore(ctx, "b"); waited <- time.Since(start) }()
+	for store.gets.Load() < 3 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	select {
+	case <-waited:
+		t.Fatal("the batch was handed over during the outage")
+	default:
+	}
+	store.down.Store(false)
+	<-waited
+	store.down.Store(true)
+	shortCtx, cancelShort := context.WithTimeout(t.Context(), handOverReserve+200*time.Millisecond)
+	defer cancelShort()
+	m.awaitStore(shortCtx, "b")
+	if shortCtx.Err() != nil {
+		t.Error("no time is left for the hand-over")
+	}
+}
+
+// A write of the previous runner that may still take effect keeps the log contested.
+func TestUnsettledWriteIsKnownAtHandOver(t *testing.T) {
+	store := &outageStore{ObjectStore: memstore.New()}
+	log := newResultLog("b", store, nil)
+	if !log.isSettled() {
+		t.Error("a log without writes is not settled")
+	}
+	store.down.Store(true)
+	log.add(Result{ID: "i"}, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		log.writeChunk(ctx, func(string, []Result, int, time.Duration) {})
+	}()
+	for log.isSettled() {
+		time.Sleep(time.Millisecond)
+	}
+	store.down.Store(false)
+	<-done
+	if !log.isSettled() || log.confirmedCount() != 1 {
+		t.Error("the log is not settled after its chunk was confirmed")
+	}
+}
--- a/batch/item.go
+++ b/batch/item.go
@@ -168,8 +168,7 @@
 	case resp.Status == http.StatusUnprocessableEntity:
 		return errItemFailed
 	case resp.Status == http.StatusInternalServerError:
-		t.failures++
-		if t.failures >= r.maxAttempts(t.item) {
+		if r.recordItemFailure(t.item.ID) >= r.maxAttempts(t.item) {
 			return errItemFailed
 		}
 		return fault.New(fault.Unavailable, "the replica returned an internal error for the item", "try another replica")
--- a/batch/job.go
+++ b/batch/job.go
@@ -102,6 +102,8 @@
 	Events   []string `json:"events"`
 	Versions []int64  `json:"versions"` // in the order of their first event
 	Complete bool     `json:"whole,omitempty"`
+	Score    string   `json:"score,omitempty"`    // of a complete one whose result the store does not have yet
+	Failures int      `json:"failures,omitempty"` // responses that reported a failure of the item
 }
 
 func (c *Completion) add(data string, version int64) {
--- a/batch/log.go
+++ b/batch/log.go
@@ -37,6 +37,7 @@
 	confirmedIDs   map[string]bool // IDs of the items in confirmed
 	chunks         int             // number of confirmed chunks
 	contestedUntil time.Time       // another daemon may write to the log until then
+	unsettled      bool            // a write was sent and it is not known whether it took effect
 	pending        []Result        // results not yet in a confirmed chunk
 	pendingIDs     map[string]bool // IDs of the items in pending
 	flushAt        time.Time       // latest time to write pending
@@ -98,6 +99,7 @@
 		return
 	}
 	l.chunks++
+	l.unsettled = false
 	for _, r := range results {
 		l.confirmed = append(l.confirmed, r)
 		l.confirmedIDs[r.ID] = true
@@ -126,6 +128,19 @@
 	l.contestedUntil = time.Now().Add(contestedPeriod)
 }
 
+// isSettled reports whether no write of this daemon may still take effect.
+func (l *resultLog) isSettled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.unsettled
+}
+
+func (l *resultLog) setUnsettled(unsettled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unsettled = unsettled
+}
+
 func (l *resultLog) isContested() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -245,6 +260,7 @@
 	key, chunk, value := l.nextChunk()
 	start := time.Now()
 	for ctx.Err() == nil {
+		l.setUnsettled(true)
 		_, err := l.store.Create(ctx, key, value)
 		switch {
 		case err == nil:
@@ -256,6 +272,7 @@
 				return
 			}
 		case fault.Is(err, fault.Invalid):
+			l.setUnsettled(false)
 			l.log.Log(event.BatchChunkRefused, event.F("batch", l.id), event.F("chunk", key), event.Err(err))
 			return
 		}
--- a/batch/read.go
+++ b/batch/read.go
@@ -106,10 +106,15 @@
 		wait = 0 // no more results will come
 	}
 	peers := m.members()
-	for i, id := range m.candidates(job, peers) {
-		if i >= maxPeersAsked || id == m.self {
+	asked := 0
+	for _, id := range m.candidates(job, peers) {
+		if asked >= maxPeersAsked {
 			break
 		}
+		if id == m.self {
+			continue // it does not run the batch, but one after it may have taken it over at a planned stop
+		}
+		asked++
 		if page, ok := m.requestPage(ctx, peers[id], job.ID, after, wait); ok {
 			return page, true
 		}
--- a/batch/run.go
+++ b/batch/run.go
@@ -24,6 +24,7 @@
 	unfinished       map[string]*Completion // completions of items without a result
 	finished         map[string]*Completion // completions of items with a result, reused if a later batch has the item
 	queue            []*task
+	failures         map[string]int             // responses that reported a failure of an item, by item
 	remainingByGroup map[string]int             // items without a result, by group
 	queueGrew        chan struct{}              // signals that the queue grew
 	streams          map[*completionStream]bool // streams in flight
@@ -35,7 +36,6 @@
 type task struct {
 	item      *Item
 	tried     map[string]bool // replicas on which it failed recently
-	failures  int             // responses that reported a failure of the item
 	moves     int             // times it left a replica as a straggler
 	timeouts  int             // times a replica sent no event in time
 	startedAt time.Time       // when it was first placed
@@ -46,12 +46,17 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	r := &run{
 		Manager: m, job: job, results: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
-		unfinished: completions, finished: map[string]*Completion{}, remainingByGroup: map[string]int{},
+		unfinished: completions, finished: map[string]*Completion{}, failures: map[string]int{}, remainingByGroup: map[string]int{},
 		queueGrew: make(chan struct{}, 1), streams: map[*completionStream]bool{},
 	}
 	if r.unfinished == nil {
 		r.unfinished = map[string]*Completion{}
 	}
+	for id, completion := range r.unfinished {
+		if completion.Failures > 0 {
+			r.failures[id] = completion.Failures
+		}
+	}
 	for _, item := range orderItems(groupsOf(job.Items), job.GroupCount) {
 		if !log.hasResult(item.ID) {
 			r.queue = append(r.queue, &task{item: item})
@@ -228,6 +233,7 @@
 func (r *run) finish(item *Item, result Result) {
 	r.mu.Lock()
 	if completion := r.unfinished[item.ID]; completion != nil && completion.Complete {
+		completion.Score = result.Score
 		r.finished[item.ID] = completion
 	}
 	delete(r.unfinished, item.ID)
@@ -243,11 +249,34 @@
 	r.results.add(result, groupComplete)
 }
 
-// stop ends the run and waits for its goroutines. It returns the unfinished completions.
+// recordItemFailure counts a response that reported a failure of an item and returns the number.
+func (r *run) recordItemFailure(item string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures[item]++
+	return r.failures[item]
+}
+
+// stop ends the run and waits for its goroutines. It returns the completions from which another
+// daemon resumes: the unfinished ones, and those whose results are not in the store.
 func (r *run) stop() map[string]*Completion {
 	r.cancel()
 	<-r.done
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.unfinished
+	completions := r.unfinished
+	for id, completion := range r.finished {
+		if !r.results.isConfirmed(id) {
+			completions[id] = completion
+		}
+	}
+	for id, failures := range r.failures {
+		if completions[id] == nil && !r.results.isConfirmed(id) {
+			completions[id] = &Completion{}
+		}
+		if completions[id] != nil {
+			completions[id].Failures = failures
+		}
+	}
+	return completions
 }
--- a/batch/score.go
+++ b/batch/score.go
@@ -33,7 +33,8 @@
 	result := Result{
 		ID: t.item.ID, State: Completed, Output: strings.Join(completion.Events, "\n"), Versions: completion.Versions,
 	}
-	if t.item.Scorer == nil {
+	if t.item.Scorer == nil || completion.Score != "" {
+		result.Score = completion.Score // the daemon that ran the batch before has it already
 		r.finish(t.item, result)
 		return
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.m.takeOver(ctx, b, completions)
+	s.m.takeOver(ctx, b, completions, request.Settled)
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
 	if b.run == nil && !b.ended {
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -140,7 +140,7 @@
 	if rounds == 0 || len(ahead) > 0 && rounds < takeoverRounds*len(ahead) {
 		return
 	}
-	m.takeOver(ctx, b, nil)
+	m.takeOver(ctx, b, nil, false)
 }
 
 // countUnserved returns the number of consecutive rounds, including this one, in which none of
@@ -185,8 +185,9 @@
 }
 
 // takeOver runs a batch from the current end of its log. completions are those of its unfinished
-// items, nil if the previous runner did not hand them over: then the saved ones are used.
-func (m *Manager) takeOver(ctx context.Context, b *batchState, completions map[string]*Completion) {
+// items, nil if the previous runner did not hand them over: then the saved ones are used. settled means
+// that the previous runner has ended and none of its writes may still take effect.
+func (m *Manager) takeOver(ctx context.Context, b *batchState, completions map[string]*Completion, settled bool) {
 	m.mu.Lock()
 	if b.run != nil || b.starting || b.ended || m.draining {
 		m.mu.Unlock()
@@ -217,7 +218,9 @@
 	}
 	job.Items = items
 	b.job = job
-	log.markContested()
+	if !settled {
+		log.markContested()
+	}
 	b.run = m.start(job, log, completions)
 	b.unservedRounds = 0
 	go m.notifyTakenOver(job)
--- a/batch/supervise_test.go
+++ b/batch/supervise_test.go
@@ -26,7 +26,7 @@
 		m.mu.Unlock()
 		var wg sync.WaitGroup
 		wg.Go(func() { m.superviseBatch(t.Context(), b, []string{"other"}, map[string]string{}) })
-		wg.Go(func() { m.takeOver(t.Context(), b, map[string]*Completion{}) })
+		wg.Go(func() { m.takeOver(t.Context(), b, map[string]*Completion{}, false) })
 		wg.Wait()
 		if !m.IsRunning("b") {
 			t.Fatal("the batch was not taken over")
