duty: replicas are ordered for the load, and the holder rests between windows

Cause: services whose number of replicas is not fixed kept what they had at the start, also after the replicas of a failure domain were lost or reclaimed. The holder of the duty made ten passes a second at rest. In a fleet of 360 daemons, each of the two receivers of counts would get 700 to 1,100 messages a second (80 to 125 KB/s, estimated from 113 measured bytes a message).

The holder sleeps until the next window can be reported. Counts are collected for 5 ms for each daemon of the fleet, at least 300 ms.

Ruled out: slots for three quarters of the items.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -1,8 +1,14 @@
 package batch
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 const (
+	// stepMemory is how long a trainer counts after its last batch.
+	stepMemory = 12 * time.Second
+
 	// recentSteps is the number of latest batches of a model that its demand is averaged over.
 	recentSteps = 3
 	// defaultItemTokens is the assumed output tokens of items without an estimate.
@@ -46,3 +52,35 @@
 	}
 	return tokens
 }
+
+// StepItems returns the number of items of the latest batch of each model, added by the service of their
+// route's split to which they belong. Models without a batch in the last stepMemory are left out.
+func (m *Manager) StepItems() map[string]int {
+	configuration := m.configuration()
+	if configuration == nil {
+		return nil
+	}
+	m.mu.Lock()
+	latest := map[string]Job{}
+	for _, b := range m.batches {
+		if b.job.ID != "" && time.Since(b.job.AcceptedAt) < stepMemory && b.job.Step >= latest[b.job.Model].Step {
+			latest[b.job.Model] = b.job
+		}
+	}
+	m.mu.Unlock()
+	items := map[string]int{}
+	for _, job := range latest {
+		route, found := configuration.Match(job.Host, job.Path)
+		if !found {
+			continue
+		}
+		var weights float64
+		for _, share := range route.Split {
+			weights += share.Weight
+		}
+		for _, share := range route.Split {
+			items[share.Service] += int(float64(job.total()) * share.Weight / weights)
+		}
+	}
+	return items
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -78,6 +78,18 @@
 	HealthPath string
 	MaxConns   int     // maximum number of connections that a replica accepts from all clients together
 	Engine     *Engine // nil for plain services
+	// Autoscale says how many replicas may be ordered, nil if the number is fixed.
+	Autoscale *Autoscale
+}
+
+// Autoscale holds the bounds and prices of the replicas of a service that can be ordered.
+type Autoscale struct {
+	Min, Max int           // replicas in each failure domain, of both kinds together
+	BootTime time.Duration // from the order of a replica until it serves
+	// SpotPrice is the price of a replica that may be reclaimed, as a share of the price of others; 0
+	// if there are none.
+	SpotPrice float64
+	Prices    map[string]float64 // of a replica and second, by failure domain
 }
 
 // Engine holds the properties shared by the model replicas of a service.
@@ -149,6 +161,7 @@
 	State         ReplicaState
 	Versions      map[string]int64 // weight version by model, model replicas only
 	StartedMs     int64            // ms since the Unix epoch; distinguishes incarnations
+	IsSpot        bool             // may be reclaimed, together with all others in its failure domain
 }
 
 // ModelVersion is the newest weight version of a model that its trainer reported.
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -15,8 +15,10 @@
 const (
 	// leaseKey is the store key of the lease object.
 	leaseKey = "leases/duties"
-	// holderInterval is the time between two passes of the holder.
-	holderInterval = 100 * time.Millisecond
+	// holderInterval is the time between two passes of the holder while reports wait, maxHolderInterval
+	// at rest.
+	holderInterval    = 100 * time.Millisecond
+	maxHolderInterval = time.Second
 	// queryInterval is the time between two rounds of status queries of a candidate.
 	queryInterval = 500 * time.Millisecond
 	// queryTimeout bounds one status query.
@@ -52,6 +54,7 @@
 	Order      func() []string          // IDs of the members in duty order
 	Members    func() map[string]string // drpc addresses of all daemons by ID, including this one
 	Conns      peer.ConnProvider
+	Scaling    *Scaling // nil if no replicas are ordered
 	Log        *event.Logger
 }
 
@@ -66,6 +69,7 @@
 	query func(ctx context.Context, address string) (holds bool, err error)
 
 	// The following are used by Run only.
+	scaler       *scaler   // nil if no replicas are ordered
 	startedAt    time.Time // true time
 	silentRounds int       // rounds without a response from a candidate ahead or the holder
 	wasHolder    bool
@@ -94,6 +98,9 @@
 		delays: map[int64]time.Duration{},
 	}
 	m.query = m.queryStatus
+	if deps.Scaling != nil {
+		m.scaler = newScaler(*deps.Scaling)
+	}
 	return m
 }
 
@@ -121,9 +128,13 @@
 	if !m.wasHolder {
 		m.wasHolder = true
 		m.markTableStale()
+		if m.scaler != nil {
+			m.scaler.forget()
+		}
 	}
 	m.report(ctx)
-	return holderInterval
+	m.scale(ctx)
+	return m.untilNextPass()
 }
 
 // watchHolder makes one round of status queries and takes the lease if nobody else has it.
--- a/duty/report.go
+++ b/duty/report.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// untilNextPass returns the time until the holder's next pass: until the next report can be composed, at
+// most maxHolderInterval, or holderInterval while something waits.
+func (m *Manager) untilNextPass() time.Duration {
+	now := m.Now()
+	if !m.table.fresh || len(m.waitingReports()) > 0 || len(windowsToCompose(now, m.cfg.Window, m.firstWindow(), m.table.reports)) > 0 {
+		return holderInterval
+	}
+	current := windowAt(now.Add(-composeDelay), m.cfg.Window)
+	return min(max(windowEnd(current, m.cfg.Window).Add(composeDelay).Sub(now), holderInterval), maxHolderInterval)
+}
+
 // loadTable reads the stored reports if this daemon's copy may be out of date. It reports whether the
 // copy is the newest as far as this daemon knows.
 func (m *Manager) loadTable(ctx context.Context) bool {
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -8,9 +8,12 @@
 
 	"storj.io/drpc"
 
+	"github.com/hornbeamtide/hornbeamtide/batch"
+	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/duty"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/peer"
+	"github.com/hornbeamtide/hornbeamtide/placement"
 	"github.com/hornbeamtide/hornbeamtide/platform"
 	"github.com/hornbeamtide/hornbeamtide/relay"
 	"github.com/hornbeamtide/hornbeamtide/usage"
@@ -24,7 +27,7 @@
 	cloud    *platform.CloudClient
 }
 
-func newDuties(d *Daemon, store *relay.Store, conns *peer.Pool, log *event.Logger) *duties {
+func newDuties(d *Daemon, store *relay.Store, conns *peer.Pool, tracker *placement.Tracker, batches *batch.Manager, log *event.Logger) *duties {
 	s := d.settings
 	if s.Duties.Address == "" || s.Duties.UsageWindow <= 0 {
 		return &duties{}
@@ -35,13 +38,17 @@
 		Self: s.ID, Incarnation: d.started.UnixNano(), Members: d.members, Conns: conns, Clock: trueTime, Recorder: recorder, Log: log,
 	})
 	cloud := platform.NewCloudClient(platform.CloudConfig{Address: s.Duties.Address}, log)
+	var scaling *duty.Scaling
+	if s.Duties.OrdersReplicas() {
+		scaling = &duty.Scaling{Client: cloud, Services: d.services, Replicas: tracker.Replicas, Demand: batches.StepItems}
+	}
 	return &duties{
 		recorder: recorder, usage: counts, cloud: cloud,
 		manager: duty.NewManager(duty.Config{
 			Self: s.ID, Incarnation: d.started.UnixMilli(), LeaseDuration: s.Orders.LeaseDuration, RequireFence: s.Orders.ReplicasCheckTokens,
 			Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, CallsPerSecond: int(math.Ceil(s.Duties.CallsPerSecond)),
 		}, duty.Dependencies{
-			Store: store, Client: cloud, Total: counts.Total, Now: trueTime.Now, Order: d.dutyOrder, Members: d.members, Conns: conns, Log: log,
+			Store: store, Client: cloud, Total: counts.Total, Now: trueTime.Now, Order: d.dutyOrder, Members: d.members, Conns: conns, Scaling: scaling, Log: log,
 		}),
 	}
 }
@@ -56,6 +63,14 @@
 	return usage.DutyOrder(ids)
 }
 
+// services returns the services of the configuration in force.
+func (d *Daemon) services() map[string]catalog.Service {
+	if c := d.configuration.Load(); c != nil {
+		return c.Services
+	}
+	return nil
+}
+
 // enabled reports whether usage is reported.
 func (d *duties) enabled() bool { return d.manager != nil }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -53,6 +53,7 @@
 
 // DutySettings holds the [duties] section.
 type DutySettings struct {
+	Names          string        // duties of the daemons, separated by commas
 	Address        string        // of the platform's API, "" for no duties
 	CallsPerSecond float64       // that the API accepts from all daemons together, 0 for no limit
 	UsageWindow    time.Duration // 0 for no usage reports
@@ -164,6 +165,7 @@
 		Description: "Calls to the platform's API that one daemon at a time makes for all; the lease is that of [orders].",
 		Keys: []inifile.KeySchema[Settings]{
 			inifile.OptionalAddress("address", "Address of the platform's API; empty for no duties.", func(s *Settings) *string { return &s.Duties.Address }),
+			inifile.Key("names", "list, separated by commas", "", "usage_report, scaling", "Duties of the daemons; scaling orders replicas of services whose number is not fixed.", setDutyNames, func(s *Settings) string { return s.Duties.Names }),
 			inifile.Float("calls", "calls per second", 0, 0, 1e6, "Calls that the platform's API accepts from all daemons together; 0 for no limit.", func(s *Settings) *float64 { return &s.Duties.CallsPerSecond }),
 			inifile.Duration("usage_window", 0, 0, maxDuration, "Length of the windows for which usage is reported; 0 for no reports.", func(s *Settings) *time.Duration { return &s.Duties.UsageWindow }),
 			inifile.Duration("usage_due", 10*time.Second, minDuration, maxDuration, "Time from the end of a window until its report is due.", func(s *Settings) *time.Duration { return &s.Duties.UsageDue }),
@@ -191,6 +193,25 @@
 	}
 }
 
+// dutyScaling is the duty of ordering replicas.
+const dutyScaling = "scaling"
+
+// setDutyNames accepts names that this program does not know: duties may be added on the platform first.
+func setDutyNames(s *Settings, value string) error {
+	s.Duties.Names = value
+	return nil
+}
+
+// OrdersReplicas reports whether ordering replicas is among the duties.
+func (d DutySettings) OrdersReplicas() bool {
+	for _, name := range strings.Split(d.Names, ",") {
+		if strings.TrimSpace(name) == dutyScaling {
+			return true
+		}
+	}
+	return false
+}
+
 func logSection() inifile.SectionSchema[Settings] {
 	return inifile.SectionSchema[Settings]{
 		Name:        "log",
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -60,7 +60,7 @@
 		"Node": "edge-a-1", "Region": "r", "Zone": "a", "Seeds": "10.0.0.1:7,10.0.0.2:7", "Ip": "10.0.0.1", "PortRange.0": "7720",
 		"Listen.Front": "10.0.0.1:1", "Listen.Ready": "10.0.0.1:2", "Listen.Control": "10.0.0.1:3",
 		"Provider.Address": "10.0.0.9:4", "Provider.WritesPerS": "400", "Limits.MemoryMb": "284", "Bounds.GraceS": "8", "Bounds.LeaseMs": "3000",
-		"Bounds.RevokeMs": "5000", "Bounds.UsageWindowS": "5", "Bounds.UsageLateS": "10", "Cloud.Address": "10.0.0.9:5", "Cloud.DutyPerS": "50.0",
+		"Bounds.RevokeMs": "5000", "Bounds.UsageWindowS": "5", "Bounds.UsageLateS": "10", "Cloud.Address": "10.0.0.9:5", "Cloud.Duties": "usage_report,scaling", "Cloud.DutyPerS": "50.0",
 	}
 	text := regexp.MustCompile(`\{\{\^[^}]*\}\}[^{]*\{\{/[^}]*\}\}|\{\{[#/][^}]*\}\}`).ReplaceAllString(string(source), "")
 	text = regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(m string) string { return values[m[2:len(m)-2]] })
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := (DutySettings{Address: "10.0.0.9:5", CallsPerSecond: 50, UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second}); s.Duties != want || s.Organisations.WithdrawalTime != 5*time.Second {
+	if want := (DutySettings{Names: "usage_report,scaling", Address: "10.0.0.9:5", CallsPerSecond: 50, UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second}); s.Duties != want || !s.Duties.OrdersReplicas() || s.Organisations.WithdrawalTime != 5*time.Second {
 		t.Errorf("settings %+v", s)
 	}
 	if s.MetricAddress != "10.0.0.1:7720" || !s.Orders.ReplicasCheckTokens || len(s.seeds()) != 2 {
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -54,7 +54,9 @@
 			}
 			return organisation.NewGate(organisation.Config{WithdrawalTime: s.Organisations.WithdrawalTime, Configuration: d.configuration.Load, Age: age})
 		},
-		func(store *relay.Store, conns *peer.Pool) *duties { return newDuties(d, store, conns, d.log) },
+		func(store *relay.Store, conns *peer.Pool, tracker *placement.Tracker, batches *batch.Manager) *duties {
+			return newDuties(d, store, conns, tracker, batches, d.log)
+		},
 		func(store *platform.Client, m *mirror.Mirror, conns *peer.Pool) *relay.Store {
 			return relay.New(store, conns, d.peerAddresses, m.Source, d.log)
 		},
--- a/usage/manager.go
+++ b/usage/manager.go
@@ -18,8 +18,11 @@
 const (
 	// candidateCount is the number of daemons of the duty order whose tables Total adds.
 	candidateCount = 3
-	// sendDelay collects the counts of a moment into one message.
-	sendDelay = 300 * time.Millisecond
+	// sendDelay collects the counts of a moment into one message. In large fleets it is
+	// sendDelayPerDaemon for each daemon, so that each of the two receivers gets at most 200 messages of
+	// some 110 bytes a second.
+	sendDelay          = 300 * time.Millisecond
+	sendDelayPerDaemon = 5 * time.Millisecond
 	// checkInterval is the time between two checks whether the receivers changed or respond again. They
 	// send nothing if both have all counts, and end once there are no recent counts.
 	checkInterval = 2 * time.Second
@@ -31,6 +34,10 @@
 	maxCatchUps     = 20
 )
 
+// delayFor returns the time for which changes are collected into one message in a fleet of n daemons. It
+// answers a fleet in which every daemon gets requests all the time and sends its counts to the same two.
+func delayFor(n int) time.Duration { return max(sendDelay, time.Duration(n)*sendDelayPerDaemon) }
+
 // Dependencies are the dependencies of a Manager.
 type Dependencies struct {
 	Self        string                   // ID of this daemon
--- a/usage/order_test.go
+++ b/usage/order_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 func testIDs(n int) []string {
@@ -48,3 +49,13 @@
 		t.Errorf("order of no daemons: %v", got)
 	}
 }
+
+// At 360 daemons each receiver gets at most 200 messages a second, and all counts are in before the report
+// of a window is composed 2.5 s after its end.
+func TestMessagesStayBoundedInLargeFleets(t *testing.T) {
+	for n, want := range map[int]time.Duration{3: 300 * time.Millisecond, 60: 300 * time.Millisecond, 360: 1800 * time.Millisecond} {
+		if got := delayFor(n); got != want {
+			t.Errorf("%d daemons: delay %v, want %v", n, got, want)
+		}
+	}
+}
--- a/usage/receivers.go
+++ b/usage/receivers.go
@@ -143,7 +143,7 @@
 	return restarted, restarted || known.waiting
 }
 
-// sendChanges sends counts sendDelay after a change until ctx ends.
+// sendChanges sends counts a moment after a change until ctx ends.
 func (m *Manager) sendChanges(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -156,7 +156,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-			due, changed = time.After(sendDelay), nil
+			due, changed = time.After(delayFor(len(m.Members()))), nil
 			continue
 		case <-due:
 			due, changed = nil, m.Recorder.changed
