--- a/batch/manager.go
+++ b/batch/manager.go
@@ -22,8 +22,9 @@
 type Dependencies struct {
 	Self               string // ID of this daemon
 	Store              objectapi.ObjectStore
-	Mirror             *mirror.Mirror           // mirrors KindBatches and KindBatchEnds
-	MemberAddresses    func() map[string]string // drpc addresses of all daemons by ID, including this one
+	Mirror             *mirror.Mirror            // mirrors KindBatches and KindBatchEnds
+	MemberAddresses    func() map[string]string  // drpc addresses of all daemons by ID, including this one
+	MemberCores        func() map[string]float64 // processor time of the daemons by ID, 0 where unknown; may be nil
 	Conns              peer.ConnProvider
 	Tracker            *placement.Tracker
 	Backend            upstream.Backend
@@ -39,6 +40,7 @@
 	store              objectapi.ObjectStore
 	mirror             *mirror.Mirror
 	members            func() map[string]string
+	cores              func() map[string]float64
 	conns              peer.ConnProvider
 	tracker            *placement.Tracker
 	backend            upstream.Backend
@@ -80,8 +82,11 @@
 	m := &Manager{
 		self: deps.Self, store: deps.Store, mirror: deps.Mirror, members: deps.MemberAddresses, conns: deps.Conns, tracker: deps.Tracker,
 		backend: deps.Backend, configuration: deps.Configuration, reportUnresponsive: deps.ReportUnresponsive, measures: deps.Measures, log: deps.Log,
-		scoreSlots: make(chan struct{}, maxConcurrentScores),
-		ctx:        ctx, stop: stop, batches: map[string]*batchState{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
+		cores: deps.MemberCores, scoreSlots: make(chan struct{}, maxConcurrentScores),
+		ctx: ctx, stop: stop, batches: map[string]*batchState{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
+	}
+	if m.cores == nil {
+		m.cores = func() map[string]float64 { return nil }
 	}
 	deps.Mirror.Observe(KindBatches, m.jobChanged)
 	deps.Mirror.Observe(KindBatchEnds, m.endChanged)
--- a/batch/owner.go
+++ b/batch/owner.go
@@ -30,7 +30,7 @@
 func (m *Manager) chooseOwner(job Job) string {
 	owners := 1 + len(job.Items)/itemsPerOwner
 	key := fmt.Sprintf("%s %d", job.Model, job.Step%int64(owners))
-	members := m.members()
+	members := largeEnough(m.members(), m.cores())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	best, bestWeight := m.self, uint64(0)
@@ -45,6 +45,28 @@
 	return best
 }
 
+// minCoreShare is the share of the processor time of the largest instance from which an instance is
+// large enough to own batches.
+const minCoreShare = 0.5
+
+// largeEnough returns the daemons that own batches: those on the larger instances of a fleet. Load
+// pattern: a step of 150 completions takes a tenth of a second of processor time to read, which lasts
+// most of a second on an instance with a seventh of a core and delays each step of its trainer. Daemons
+// whose processor time is unknown are large enough.
+func largeEnough(members map[string]string, cores map[string]float64) map[string]string {
+	largest := 0.0
+	for id := range members {
+		largest = max(largest, cores[id])
+	}
+	found := make(map[string]string, len(members))
+	for id, address := range members {
+		if cores[id] == 0 || cores[id] >= minCoreShare*largest {
+			found[id] = address
+		}
+	}
+	return found
+}
+
 // forward has another daemon store and run the batch. An error with outcome fault.NotRun means
 // that the owner did not store it and never will.
 func (m *Manager) forward(ctx context.Context, owner string, job Job) error {
--- a/edge/members.go
+++ b/edge/members.go
@@ -11,7 +11,7 @@
 func (d *Daemon) memberEntry() []byte {
 	value, err := json.Marshal(platform.Member{
 		ID: d.settings.ID, Address: d.settings.FrontAddress, PeerAddress: d.settings.PeerAddress,
-		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
+		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain, Cores: d.settings.Cores,
 	})
 	if err != nil {
 		panic(err) // not reached: strings always marshal
@@ -49,6 +49,15 @@
 	return members
 }
 
+// memberCores returns the processor time of all daemons' instances by ID, 0 where it is unknown.
+func (d *Daemon) memberCores() map[string]float64 {
+	cores := map[string]float64{d.settings.ID: d.settings.Cores}
+	for _, m := range d.knownMembers() {
+		cores[m.ID] = m.Cores
+	}
+	return cores
+}
+
 // peerAddresses returns the drpc addresses of the other daemons.
 func (d *Daemon) peerAddresses() []string {
 	var addresses []string
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -59,7 +59,7 @@
 	values := map[string]string{
 		"Node": "edge-a-1", "Region": "r", "Zone": "a", "Seeds": "10.0.0.1:7,10.0.0.2:7", "Ip": "10.0.0.1", "PortRange.0": "7720",
 		"Listen.Front": "10.0.0.1:1", "Listen.Ready": "10.0.0.1:2", "Listen.Control": "10.0.0.1:3",
-		"Provider.Address": "10.0.0.9:4", "Provider.WritesPerS": "400", "Limits.MemoryMb": "284", "Bounds.GraceS": "8", "Bounds.LeaseMs": "3000",
+		"Provider.Address": "10.0.0.9:4", "Provider.WritesPerS": "400", "Limits.MemoryMb": "284", "Limits.CpuShare": "0.4", "Bounds.GraceS": "8", "Bounds.LeaseMs": "3000",
 		"Bounds.RevokeMs": "5000", "Bounds.UsageWindowS": "5", "Bounds.UsageLateS": "10", "Cloud.Address": "10.0.0.9:5", "Cloud.Duties": "usage_report,scaling", "Cloud.DutyPerS": "50.0",
 	}
 	text := regexp.MustCompile(`\{\{\^[^}]*\}\}[^{]*\{\{/[^}]*\}\}|\{\{[#/][^}]*\}\}`).ReplaceAllString(string(source), "")
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -85,7 +85,7 @@
 		},
 		func(store *relay.Store, m *mirror.Mirror, rosterManager *roster.Manager, conns *peer.Pool, tracker *placement.Tracker, backend *ratelimit.Manager, measures *measure.Set) *batch.Manager {
 			return batch.NewManager(batch.Dependencies{
-				Self: s.ID, Store: store, Mirror: m, MemberAddresses: d.members, Conns: conns, Tracker: tracker, Backend: backend,
+				Self: s.ID, Store: store, Mirror: m, MemberAddresses: d.members, MemberCores: d.memberCores, Conns: conns, Tracker: tracker, Backend: backend,
 				Configuration: d.configuration.Load, ReportUnresponsive: rosterManager.ReportUnresponsive, Measures: measures, Log: d.log,
 			})
 		},
