--- a/mirror/proof.go
+++ b/mirror/proof.go
@@ -6,7 +6,6 @@
 
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/event"
-	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/mirror/mirrorpb"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
@@ -88,21 +87,20 @@
 	return m.cfg.ProofInterval - m.proof.age(), m.roleChange
 }
 
-// prove reads the proven object from the store. It reports whether the store responded.
+// prove reads the proven object from the store. It reports whether the store has it: a missing object
+// proves nothing, since its last state stays in force.
 func (m *Mirror) prove(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, proofCallTimeout)
 	defer cancel()
 	asked := m.proof.now()
 	o, err := m.store.Get(ctx, m.cfg.ProvenKey)
-	if err != nil && !fault.Is(err, fault.NotFound) {
+	if err != nil {
 		m.log.Log(event.MirrorProofFailed, event.F("key", m.cfg.ProvenKey), event.Err(err))
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err == nil {
-		m.applyRead(o)
-	}
+	m.applyRead(o)
 	m.proof.record(asked, o.Version)
 	return true
 }
--- a/mirror/proof_test.go
+++ b/mirror/proof_test.go
@@ -114,3 +114,29 @@
 		t.Error("a collector reads a store that does not respond")
 	}
 }
+
+// Guards against a copy that goes back: a read shows a change, then the watch delivers the changes
+// before it.
+func TestOlderChangeOfWatchDoesNotReplaceWhatWasRead(t *testing.T) {
+	for name, older := range map[string]objectapi.Change{
+		"update":   {Revision: 7, Object: objectapi.Object{Key: "config/main", Version: 7}},
+		"deletion": {Revision: 7, Object: objectapi.Object{Key: "config/main", Version: 7}, Deleted: true},
+	} {
+		now := time.Hour
+		m := provingMirror(&objectStore{object: objectapi.Object{Key: "config/main", Version: 9}}, &now)
+		m.prove(t.Context())
+		m.apply("config", older)
+		if objects := m.Objects("config"); len(objects) != 1 || objects[0].Version != 9 || m.ProofAge() != 0 {
+			t.Errorf("%s: copy %v with a proof of age %v; want version 9", name, objects, m.ProofAge())
+		}
+	}
+}
+
+// Guards against a proof for a copy of an object that the store says does not exist.
+func TestMissingObjectIsNoProofOfACopy(t *testing.T) {
+	now := time.Hour
+	m := provingMirror(&objectStore{err: fault.New(fault.NotFound, "none", "")}, &now)
+	if m.prove(t.Context()); m.ProofAge() < unknownAge {
+		t.Errorf("proof of age %v, but the store has no such object", m.ProofAge())
+	}
+}
--- a/mirror/watch.go
+++ b/mirror/watch.go
@@ -242,12 +242,14 @@
 	switch {
 	case change.Bookmark:
 		return
+	case change.Revision < k.objects[change.Object.Key].Version:
+		return // the copy is newer: this daemon has read or written the object since
 	case change.Deleted:
 		if !k.remove(change.Object, change.Revision, grace) {
 			return
 		}
 	default:
-		k.lastChange = change.Revision
+		k.lastChange = max(k.lastChange, change.Revision)
 		k.set(Change{Object: change.Object})
 	}
 	m.notifyWaiters()
