mirror: a short outage of the store is known as shared, and the response that shows a cut removes replicas

Stale responses were counted only when this daemon's copy was over 3 s old. By then most daemons were skipped, and slightly newer stale copies cleared the count, so that after an outage of 3 to 5 s the replicas whose entries had expired were removed at once.

--- a/mirror/continuity.go
+++ b/mirror/continuity.go
@@ -23,7 +23,9 @@
 	if now.Sub(at) > outageAge {
 		return false // an outdated copy of another daemon
 	}
-	clear(c.staleDaemons)
+	if now.Sub(at) < staleAge {
+		clear(c.staleDaemons)
+	}
 	switch {
 	case c.followsSince.IsZero():
 		c.followsSince = at
@@ -52,7 +54,9 @@
 		lostAt = freshAt
 	}
 	if age >= staleAge {
-		if inOutage && age < unknownAge {
+		// From staleAge on, not outageAge: a daemon without a fresh copy is skipped for longer than a
+		// short outage of the store lasts after outageAge.
+		if now.Sub(freshAt) >= staleAge && age < unknownAge {
 			c.staleDaemons[id] = true
 		}
 		return false
@@ -79,15 +83,17 @@
 	m.freshAt = at
 }
 
-// recordPeer records a response of another daemon. If the last outage was this daemon's alone, the
-// grace periods of missing objects end. The caller holds the lock.
-func (m *Mirror) recordPeer(id string, age, unbroken time.Duration) {
+// recordPeer records a response of another daemon. It reports whether the response shows that the store
+// was available throughout the last outage of this daemon; the grace periods of missing objects then
+// end. The caller holds the lock.
+func (m *Mirror) recordPeer(id string, age, unbroken time.Duration) bool {
 	if !m.continuity.peerResponded(id, time.Now(), m.freshAt, age, unbroken) {
-		return
+		return false
 	}
 	for _, k := range m.kinds {
 		k.endGrace()
 	}
+	return true
 }
 
 // grantsGrace reports whether an object that is missing now gets a grace period: the copy is not known
--- a/mirror/continuity_test.go
+++ b/mirror/continuity_test.go
@@ -105,3 +105,32 @@
 		t.Error("want only the daemon that followed the store for the whole outage to end grace periods")
 	}
 }
+
+// Guards against the loss of all replicas after an outage of the store of three to five seconds: the
+// other daemons were asked when their copies were outdated but this daemon's was not yet so for
+// outageAge, and are then skipped for longer than the outage lasts.
+func TestSharedOutageIsKnownFromItsBegin(t *testing.T) {
+	m := cutOffMirror()
+	m.freshAt = time.Now().Add(-staleAge - 200*time.Millisecond)
+	stale := &mirrorpb.SyncAnswer{AgeMs: (staleAge + 200*time.Millisecond).Milliseconds()}
+	m.applyResponse("d2", 0, stale)
+	m.applyResponse("d3", 0, stale)
+	m.freshAt = m.freshAt.Add(-2 * time.Second) // both are skipped meanwhile
+	m.replace("servers", objectapi.Snapshot{Revision: 9})
+	if !hasObject(m, "left") || !hasObject(m, "stays") {
+		t.Error("the replicas were removed at once after an outage of all daemons")
+	}
+}
+
+// Guards against requests to a replica that left while several daemons were cut off: the response that
+// shows that the store was available all the time must remove the replica itself.
+func TestResponseThatShowsACutRemovesReplicas(t *testing.T) {
+	m := cutOffMirror()
+	stale := &mirrorpb.SyncAnswer{AgeMs: time.Minute.Milliseconds()}
+	m.applyResponse("d2", 0, stale)
+	m.applyResponse("d4", 0, stale)
+	m.applyResponse("d3", 0, peerUpdate(0, 2*time.Minute))
+	if hasObject(m, "left") {
+		t.Error("a replica that left during the cut is still listed")
+	}
+}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -212,8 +212,8 @@
 	if outdated && !m.isCompleteLocked() && time.Since(m.startedAt) < staleFallbackDelay {
 		return staleCopy
 	}
-	m.recordPeer(from, age, time.Duration(resp.UnbrokenMs)*time.Millisecond)
-	grace := m.grantsGrace()
+	storeWasAvailable := m.recordPeer(from, age, time.Duration(resp.UnbrokenMs)*time.Millisecond)
+	grace := !storeWasAvailable && m.grantsGrace()
 	updated := m.expireMissingLocked()
 	for _, update := range resp.News {
 		if m.applyUpdate(update, from, grace) {
