--- a/batch/drain.go
+++ b/batch/drain.go
@@ -66,6 +66,9 @@
 	m.mu.Lock()
 	r := b.run
 	m.mu.Unlock()
+	if r == nil {
+		return // left to another daemon meanwhile
+	}
 	m.awaitStore(ctx, r.job.ID)
 	completions := r.stop()
 	m.mu.Lock()
@@ -78,16 +81,19 @@
 	if err != nil {
 		return
 	}
-	peers := m.members()
+	peers, settled := m.members(), r.results.isSettled()
 	for _, id := range m.candidates(r.job, peers) {
 		if id == m.self || peers[id] == "" || ctx.Err() != nil {
 			continue
 		}
-		request := &batchpb.JobRequest{Id: r.job.ID, Json: value, Settled: r.results.isSettled()}
-		if m.handOverTo(ctx, peers[id], request) == nil {
+		err := m.handOverTo(ctx, peers[id], &batchpb.JobRequest{Id: r.job.ID, Json: value, Settled: settled})
+		if err == nil {
 			m.log.Log(event.BatchHandedOver, event.F("batch", r.job.ID), event.F("to", id), event.F("texts", len(completions)))
 			return
 		}
+		if fault.OutcomeOf(err) != fault.NotRun {
+			settled = false // it may run the batch
+		}
 	}
 }
 
@@ -96,7 +102,7 @@
 	defer cancel()
 	conn, err := m.conns.Conn(ctx, address)
 	if err != nil {
-		return err
+		return fault.Wrap(err, fault.Unavailable, "the daemon can't be reached", "hand the batch to another daemon", fault.WithOutcome(fault.NotRun))
 	}
 	_, err = batchpb.NewDRPCBatchClient(conn).TakeOver(ctx, request)
 	return err
--- a/batch/drain_test.go
+++ b/batch/drain_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"storj.io/drpc"
+
+	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
@@ -157,3 +160,49 @@
 		t.Error("the log is not settled after its chunk was confirmed")
 	}
 }
+
+// Guards against a panic that ends the process at a planned stop: the batch was left to another daemon
+// between its choice for the hand-over and the hand-over.
+func TestHandOverOfBatchThatNoLongerRuns(t *testing.T) {
+	m := newDrainManager(memstore.New())
+	m.handOver(t.Context(), &batchState{job: Job{ID: "b"}, log: newResultLog("b", m.store, nil)})
+}
+
+// silentSuccessor provides connections to daemons of which the first does not respond to a hand-over.
+type silentSuccessor struct{ requests *[]*batchpb.JobRequest }
+
+// Conn implements peer.ConnProvider.
+func (s silentSuccessor) Conn(context.Context, string) (drpc.Conn, error) {
+	return silentConn{requests: s.requests}, nil
+}
+
+type silentConn struct {
+	drpc.Conn
+
+	requests *[]*batchpb.JobRequest
+}
+
+// Invoke implements drpc.Conn.
+func (c silentConn) Invoke(_ context.Context, _ string, _ drpc.Encoding, in, _ drpc.Message) error {
+	*c.requests = append(*c.requests, in.(*batchpb.JobRequest))
+	if len(*c.requests) == 1 {
+		return fault.New(fault.Unavailable, "no response", "")
+	}
+	return nil
+}
+
+// Guards against a daemon that takes its log for the only one while another runs the batch too: the one
+// that was asked before it did not respond, but may have taken the batch over.
+func TestHandOverAfterMissingResponseIsNotSettled(t *testing.T) {
+	m := newDrainManager(memstore.New())
+	var requests []*batchpb.JobRequest
+	m.conns = silentSuccessor{&requests}
+	m.members = func() map[string]string { return map[string]string{"d": "1", "e": "2", "f": "3"} }
+	job := Job{ID: "b", Owner: "d", Items: []Item{{ID: "i", Path: "/x"}}}
+	b := &batchState{job: job, log: newResultLog("b", m.store, nil)}
+	b.run = m.start(job, b.log, nil)
+	m.handOver(t.Context(), b)
+	if len(requests) != 2 || !requests[0].Settled || requests[1].Settled {
+		t.Errorf("requests %v; want the first settled and the second not", requests)
+	}
+}
