--- a/batch/accept.go
+++ b/batch/accept.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -26,8 +27,8 @@
 	mayBeStored := false
 	if owner := m.chooseOwner(job); owner != m.self {
 		err := m.forward(ctx, owner, job)
-		if err == nil {
-			return nil
+		if err == nil || fault.Is(err, fault.Forbidden) {
+			return err
 		}
 		// An owner that did not respond may have stored the batch or may do so later. The write
 		// below finds the stored batch; if that write fails too, the outcome is unknown.
@@ -116,7 +117,11 @@
 		return false, err
 	}
 	for i, part := range parts {
-		if _, err := a.store.Create(ctx, partKey(a.job.ID, i), part); err != nil && !fault.Is(err, fault.Conflict) {
+		_, err := a.store.Create(ctx, partKey(a.job.ID, i), part)
+		if fault.Is(err, fault.Conflict) {
+			err = a.checkPart(ctx, i, part)
+		}
+		if err != nil {
 			return false, err // parts without a head are ignored
 		}
 	}
@@ -138,6 +143,20 @@
 	return false, err
 }
 
+// checkPart returns an error if a part that is stored already has other items. Failure: another
+// organisation submitted a batch with the same ID and stored only its parts; their items must not run
+// for this one.
+func (a *acceptance) checkPart(ctx context.Context, n int, own []byte) error {
+	if a.job.Organisation == "" {
+		return nil
+	}
+	stored, err := a.store.Get(ctx, partKey(a.job.ID, n))
+	if err != nil || bytes.Equal(stored.Value, own) {
+		return err
+	}
+	return fault.New(fault.Forbidden, "batch "+a.job.ID+" was submitted with other items", "submit the batch under another id", fault.WithOutcome(fault.NotRun))
+}
+
 // startRun starts a batch that this daemon has just stored. A new batch has no results yet.
 func (a *acceptance) startRun() {
 	a.mu.Lock()
--- a/batch/accept_test.go
+++ b/batch/accept_test.go
@@ -1,14 +1,19 @@
 package batch
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/mirror"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/placement"
+	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
 )
 
 // scriptedStore is a store whose nth create fails with the nth error; the last error repeats.
@@ -83,3 +88,84 @@
 		}
 	}
 }
+
+// headlessStore refuses heads of batches, as at the deadline of a submission whose parts are stored.
+type headlessStore struct{ objectapi.ObjectStore }
+
+// Create implements objectapi.ObjectStore.
+func (s headlessStore) Create(ctx context.Context, key string, value []byte) (objectapi.Object, error) {
+	if key == jobKey("b1") {
+		return objectapi.Object{}, fault.New(fault.Unavailable, "down", "", fault.WithOutcome(fault.NotRun))
+	}
+	return s.ObjectStore.Create(ctx, key, value)
+}
+
+// Guards against a batch that runs the items of another organisation, which submitted the same id and
+// stored parts without a head.
+func TestPartsOfAnotherOrganisationAreNotRun(t *testing.T) {
+	job := func(organisation string) Job {
+		j := Job{ID: "b1", Organisation: organisation}
+		for i := range 12 {
+			j.Items = append(j.Items, Item{ID: fmt.Sprint("i", i), Path: "/x", Body: bytes.Repeat([]byte(organisation[:1]), 2000)})
+		}
+		return j
+	}
+	store := memstore.New()
+	south := newDrainManager(headlessStore{store})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if err := south.acceptLocally(ctx, job("south"), false); fault.OutcomeOf(err) != fault.NotRun {
+		t.Fatalf("submission without a head: %v", err)
+	}
+	north := newDrainManager(store)
+	northCtx, cancelNorth := context.WithTimeout(t.Context(), time.Second)
+	defer cancelNorth()
+	if err := north.acceptLocally(northCtx, job("north"), false); err != nil {
+		return // refused
+	}
+	reader := newDrainManager(store)
+	b, err := reader.find(t.Context(), "b1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := reader.jobOf(b)
+	items, err := reader.items(t.Context(), head)
+	if err != nil || head.Organisation != "north" || items[0].Body[0] != 'n' {
+		t.Errorf("the batch of %s has the items of %c, error %v", head.Organisation, items[0].Body[0], err)
+	}
+}
+
+// refusingOwner provides connections to an owner that responds to each call with an error.
+type refusingOwner struct{ err error }
+
+// refusingConn implements drpc.Conn.
+type refusingConn struct {
+	drpc.Conn
+
+	err error
+}
+
+// Conn implements peer.ConnProvider.
+func (o refusingOwner) Conn(context.Context, string) (drpc.Conn, error) {
+	return refusingConn{err: o.err}, nil
+}
+
+// Invoke implements drpc.Conn.
+func (c refusingConn) Invoke(context.Context, string, drpc.Encoding, drpc.Message, drpc.Message) error {
+	return c.err
+}
+
+// Guards against an owner that is suspected and skipped because callers submit batches with the IDs of
+// another organisation's.
+func TestRefusalByOwnerIsNoFailureOfIt(t *testing.T) {
+	m := newDrainManager(memstore.New())
+	m.members = func() map[string]string { return map[string]string{"d": "1", "owner": "2"} }
+	m.conns = refusingOwner{err: fault.New(fault.Forbidden, "another organisation's", "", fault.WithOutcome(fault.NotRun))}
+	m.reportUnresponsive = func(id string) { t.Errorf("%s is reported as not responding", id) }
+	if err := m.forward(t.Context(), "owner", Job{ID: "b1", Organisation: "south"}); !fault.Is(err, fault.Forbidden) {
+		t.Errorf("error %v, want the refusal", err)
+	}
+	if len(m.ownerBackoffs) > 0 {
+		t.Error("the owner is skipped")
+	}
+}
--- a/batch/owner.go
+++ b/batch/owner.go
@@ -85,6 +85,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if fault.Is(err, fault.Forbidden) {
+		return err // a response: the owner is not at fault
+	}
 	if err != nil {
 		delay := min(max(minOwnerBackoff, 2*m.ownerBackoffs[owner].delay), maxOwnerBackoff)
 		m.ownerBackoffs[owner] = ownerBackoff{until: time.Now().Add(delay), delay: delay}
