--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -48,7 +48,7 @@
 			}, store, conns, d.mirrorMembers, d.log)
 		},
 		func(m *mirror.Mirror) *organisation.Gate {
-			age := m.Age
+			age := m.ConfirmedAge
 			if s.Organisations.WithdrawalTime > 0 {
 				age = m.ProofAge
 			}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -180,6 +180,17 @@
 	return m.age()
 }
 
+// ConfirmedAge returns how long ago the urgent kinds last matched the store, unknownAge if they did not
+// since the start: Age then counts from the start, and the copy may be much older.
+func (m *Mirror) ConfirmedAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.confirmed {
+		return unknownAge
+	}
+	return m.age()
+}
+
 // ageAll returns how long ago all kinds last matched the store.
 func (m *Mirror) ageAll() time.Duration {
 	m.mu.Lock()
--- a/mirror/start_test.go
+++ b/mirror/start_test.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/mirror/mirrorpb"
 )
 
 // refusingConns are connections to daemons that are not up yet.
@@ -47,3 +48,18 @@
 	defer m.mu.Unlock()
 	return m.watching
 }
+
+// Guards against 401 for a key that may be new: without a withdrawal time the gate uses the age of
+// the copy, and Age counts from the start of this daemon until the copy is confirmed.
+func TestAgeOfOutdatedCopyAfterStart(t *testing.T) {
+	m := newTestMirror()
+	m.startedAt = time.Now().Add(-time.Second)
+	m.applyResponse("d2", 0, &mirrorpb.SyncAnswer{AgeMs: 60_000, News: []*mirrorpb.News{{Kind: "servers", Revision: 9, Keys: []string{}}}})
+	if age := m.ConfirmedAge(); age < time.Minute {
+		t.Errorf("age %v of a copy that is a minute old", age)
+	}
+	m.applyResponse("d3", 0, &mirrorpb.SyncAnswer{})
+	if age := m.ConfirmedAge(); age > time.Second {
+		t.Errorf("age %v of a copy that matches the store", age)
+	}
+}
