Organisations: a refused configuration proves nothing, and an empty list opens nothing

Cause: a configuration that can't be decoded left the previous one in force while the proof of freshness was for the new one, so that keys which it withdrew stayed valid. After the last organisation was removed, requests needed no key and the caller's own headers reached replicas. Both found in a review.

Change: while the newest configuration is refused, the one in force has no proof (503 for keys). A configuration with an empty list of organisations requires a key, and none is valid; without the list, requests need none, as before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -26,7 +26,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
-	// Organisations own the API keys with which callers send requests; empty if requests need none.
+	// Organisations own the API keys with which callers send requests; nil if requests need none. If the
+	// list is empty but not nil, no key is valid.
 	Organisations []Organisation
 
 	byHost map[string][]int  // indices of Routes, longest prefix first
@@ -135,6 +136,9 @@
 	return nil, false
 }
 
+// RequiresKeys reports whether requests need an API key, but for those of public routes.
+func (c *Configuration) RequiresKeys() bool { return c.Organisations != nil }
+
 // OrganisationOf returns the name of the organisation that holds the API key with a digest.
 func (c *Configuration) OrganisationOf(keyDigest string) (string, bool) {
 	name, found := c.byKey[keyDigest]
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -62,11 +62,13 @@
 
 	listeners     listeners
 	configuration atomic.Pointer[catalog.Configuration]
-	draining      atomic.Bool
-	clients       *connlimit.Limiter
-	bodies        *connlimit.Budget
-	output        *event.AsyncWriter
-	aborted       chan struct{} // closed by Abort
+	// configurationRefused is set while the newest configuration of the store can't be decoded.
+	configurationRefused atomic.Bool
+	draining             atomic.Bool
+	clients              *connlimit.Limiter
+	bodies               *connlimit.Budget
+	output               *event.AsyncWriter
+	aborted              chan struct{} // closed by Abort
 }
 
 // modules holds the parts of a daemon that the dependency injection container builds.
@@ -151,6 +153,7 @@
 		return
 	}
 	next, err := platform.DecodeConfiguration(c.Value)
+	d.configurationRefused.Store(err != nil)
 	if err != nil {
 		d.log.Log(event.EdgeConfigurationRefused, event.F("revision", c.Version), event.Err(err))
 		return
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -52,7 +52,9 @@
 			if s.Organisations.WithdrawalTime > 0 {
 				age = m.ProofAge
 			}
-			return organisation.NewGate(organisation.Config{WithdrawalTime: s.Organisations.WithdrawalTime, Configuration: d.configuration.Load, Age: age})
+			return organisation.NewGate(organisation.Config{
+				WithdrawalTime: s.Organisations.WithdrawalTime, Configuration: d.configuration.Load, Age: d.configurationAge(age),
+			})
 		},
 		func(store *relay.Store, conns *peer.Pool, tracker *placement.Tracker, batches *batch.Manager) *duties {
 			return newDuties(d, store, conns, tracker, batches, d.log)
@@ -97,6 +99,22 @@
 	}
 }
 
+// refusedAge is the age of a configuration in force that is not the newest one, since the newest was
+// refused. It may hold keys that were withdrawn.
+const refusedAge = time.Hour
+
+// configurationAge returns the function that returns how long ago the configuration in force was the newest
+// for certain, given the one for the copy of the store.
+func (d *Daemon) configurationAge(copyAge func() time.Duration) func() time.Duration {
+	return func() time.Duration {
+		age := copyAge()
+		if d.configurationRefused.Load() {
+			return refusedAge
+		}
+		return age
+	}
+}
+
 const (
 	// proofsPerWithdrawalTime is how often the configuration is proven to be the newest within the
 	// withdrawal time of API keys, so that a few failed reads or a change of the collector refuse nobody.
--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -84,7 +84,7 @@
 func (g *Gate) Identify(v View, keyDigest string) (string, error) { return g.resolve(v, keyDigest, 0) }
 
 func (g *Gate) resolve(v View, keyDigest string, withdrawalTime time.Duration) (string, error) {
-	if len(v.Configuration.Organisations) == 0 {
+	if !v.Configuration.RequiresKeys() {
 		return "", nil
 	}
 	name, known := v.Configuration.OrganisationOf(keyDigest)
