lease: an unconfirmed takeover keeps its wait

If the answer to the write of a takeover was lost, the next attempt found the own write in the store and made calls at once, while calls of the previous holder might still be in flight.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -233,12 +233,16 @@
 	return l.renew(ctx, version, wait)
 }
 
-// renewOwn renews the lease that an earlier write of this process has left in the store.
-func (l *Lease) renewOwn(ctx context.Context, version int64) bool {
+// renewOwn renews the lease that an earlier write of this process has left in the store. If the answer to
+// that write was lost, its wait for the calls of the previous holder is not known to be over.
+func (l *Lease) renewOwn(ctx context.Context, version int64, current leaseValue) bool {
 	l.mu.Lock()
 	var wait time.Duration
-	if version != l.version && l.waitsForOwnCalls() {
-		wait = max(l.cfg.Duration-l.sinceLastCall(), 0)
+	if version != l.version {
+		wait = time.Duration(current.WaitMs) * time.Millisecond
+		if l.waitsForOwnCalls() {
+			wait = max(l.cfg.Duration-l.sinceLastCall(), wait)
+		}
 	}
 	l.mu.Unlock()
 	return l.renew(ctx, version, wait)
@@ -256,7 +260,7 @@
 	case readable && current.Holder == l.cfg.Self && current.Incarnation != l.cfg.Incarnation:
 		return l.adoptOwn(ctx, version, current)
 	case readable && current.Holder == l.cfg.Self:
-		return l.renewOwn(ctx, version)
+		return l.renewOwn(ctx, version, current)
 	case readable && current.Released:
 		return l.renew(ctx, version, l.cfg.Duration-time.Duration(current.SinceLastCallMs)*time.Millisecond)
 	case !l.expired(version):
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
 )
 
@@ -262,3 +264,42 @@
 		}
 	}
 }
+
+// Guards against a lost wait: the write of a takeover takes effect, its answer is lost, and the next
+// attempt finds the own write in the store. Calls of the previous holder may still be in flight.
+func TestUnconfirmedTakeoverKeepsWait(t *testing.T) {
+	store, clk, leases := newLeases(false)
+	a, b := leases["a"], leases["b"]
+	a.Acquire(t.Context())
+	a.TokenForCall()
+	a.Release(t.Context())
+	limited, cancel := context.WithCancel(t.Context())
+	b.store = cancelAfterUpdate{store, cancel}
+	if b.Acquire(limited) {
+		t.Fatal("the answer was not lost")
+	}
+	b.store = store
+	clk.elapsed += 500 * time.Millisecond
+	if !b.Acquire(t.Context()) {
+		t.Fatal("the own lease was not found")
+	}
+	mustHold(t, b, false, "500 ms after the last call of a")
+	clk.elapsed += 3 * time.Second
+	b.Acquire(t.Context())
+	mustHold(t, b, true, "after the wait")
+}
+
+// cancelAfterUpdate is a store whose updates take effect and whose answers are lost.
+type cancelAfterUpdate struct {
+	*memstore.Store
+	cancel func()
+}
+
+func (s cancelAfterUpdate) Update(ctx context.Context, key string, value []byte, version int64) (objectapi.Object, error) {
+	_, err := s.Store.Update(ctx, key, value, version)
+	s.cancel()
+	if err != nil {
+		return objectapi.Object{}, err
+	}
+	return objectapi.Object{}, fault.New(fault.Ambiguous, "the answer was lost", "")
+}
