connlimit: a large first message of a daemon is not refused

On an instance with one core, the goroutine of a call can start after the reader has read more of the call's message than a head may have. The reader now waits for the call to start.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -13,6 +13,9 @@
 	checkInterval = 250 * time.Millisecond // of the bounds of time
 	// maxHeadRead bounds one read of a head, so that the bounds apply before much has arrived.
 	maxHeadRead = 16 << 10
+	// callStartTimeout is how long a full first head waits for its call to start. On a busy instance with
+	// one core, a goroutine starts within some 10 ms.
+	callStartTimeout = time.Second
 	// refusalTimeout bounds the writing of a refusal to a client that may not read it.
 	refusalTimeout = 100 * time.Millisecond
 	refusal        = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -52,7 +55,7 @@
 			return nil, err
 		}
 		now := time.Now()
-		c := &Conn{Conn: inner, limiter: l.limiter, address: l.address, load: Load{Began: now, LastByte: now}}
+		c := &Conn{Conn: inner, limiter: l.limiter, address: l.address, served: make(chan struct{}), load: Load{Began: now, LastByte: now}}
 		if l.limiter.add(c) {
 			return c, nil
 		}
@@ -66,16 +69,15 @@
 
 	limiter *Limiter
 	address Address
-	load    Load // guarded by limiter.mu
-	dropped bool // guarded by limiter.mu
+	load    Load          // guarded by limiter.mu
+	dropped bool          // guarded by limiter.mu
+	served  chan struct{} // closed once load.Served is set or the connection is removed
 }
 
 // Read implements net.Conn. It returns io.EOF once the connection has exceeded the bound of a head,
 // after which net/http writes no response of its own.
 func (c *Conn) Read(p []byte) (int, error) {
-	if len(p) > maxHeadRead {
-		p = p[:maxHeadRead]
-	}
+	p = p[:min(len(p), maxHeadRead, c.awaitFirstCall())]
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.limiter.received(c, n, bytes.Count(p[:n], []byte{'\n'})) {
 		if c.address != Peer {
@@ -88,6 +90,23 @@
 	return n, err
 }
 
+// awaitFirstCall returns how much may be read. If the head of a connection whose later messages are not
+// bounded is full, it waits a moment for CallStarted: the goroutine of a call may start after the reader
+// has read more of the same call's message than a head may have.
+func (c *Conn) awaitFirstCall() int {
+	room := c.limiter.firstHeadRoom(c)
+	if room > 0 {
+		return room
+	}
+	timer := time.NewTimer(callStartTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.served:
+	case <-timer.C:
+	}
+	return maxHeadRead
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.limiter.mu.Lock()
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -124,6 +124,7 @@
 		return false
 	}
 	delete(l.conns[c.address], c)
+	c.setServed()
 	l.release(c)
 	return true
 }
@@ -146,6 +147,26 @@
 	}
 }
 
+// setServed is called with the limiter's lock held.
+func (c *Conn) setServed() {
+	if !c.load.Served {
+		c.load.Served = true
+		close(c.served)
+	}
+}
+
+// firstHeadRoom returns how much of the first head of a connection is left within its bound, or a large
+// number if no such bound applies now.
+func (l *Limiter) firstHeadRoom(c *Conn) int {
+	bounds := l.config.Bounds(c.address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !bounds.FirstOnly || c.load.Served {
+		return maxHeadRead
+	}
+	return int(max(bounds.HeadBytes-c.load.Raw, 0))
+}
+
 // received accounts for bytes that arrived on a connection. It reports false if the connection has
 // exceeded the bound of a head and must be refused.
 func (l *Limiter) received(c *Conn, size, lines int) bool {
@@ -194,7 +215,7 @@
 		return
 	}
 	c.load.State, c.load.LastByte = state, time.Now()
-	c.load.Served = true
+	c.setServed()
 	if state == Waiting || state == Running {
 		l.release(c)
 	}
