duty: no gap while the holder drains, steady orders, one rate of calls

- Replicas are given up only if those that serve elsewhere suffice.
Before, a domain that refused orders caused those in the other domains to be given up and ordered again every six seconds.
- Orders for replicas keep to the rate of calls, which is no longer rounded up.
- The first window follows from true time when it is needed, not from the wall clock at the start.

--- a/duty/fleet_test.go
+++ b/duty/fleet_test.go
@@ -295,3 +295,20 @@
 		})
 	}
 }
+
+// Guards against a fleet without a holder while the former one drains: it releases the lease as soon as a
+// stop is requested, but answers other daemons' calls until its callers are served.
+func TestDrainingHolderDoesNotDelaySuccessor(t *testing.T) {
+	inBothWorlds(t, func(w *world) {
+		time.Sleep(20 * time.Second)
+		old := w.holder()
+		old.cancel() // it still answers status queries
+		time.Sleep(6 * time.Second)
+		if now := w.holder(); now == old {
+			t.Errorf("%s still holds the lease", now.name)
+		}
+		w.mu.Lock()
+		delete(w.processes, old.id)
+		w.mu.Unlock()
+	})
+}
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/clock"
@@ -37,7 +38,7 @@
 	RequireFence   bool          // the platform refuses calls with an older fencing token
 	Window         time.Duration // length of a window (UsageWindowS)
 	Due            time.Duration // time from a window's end until its report is due (UsageLateS)
-	CallsPerSecond int           // calls that the platform accepts from all daemons together (DutyPerS), 0 for no limit
+	CallsPerSecond float64       // calls that the platform accepts from all daemons together (DutyPerS), 0 for no limit
 }
 
 // Dependencies are the dependencies of a Manager.
@@ -69,14 +70,15 @@
 	query func(ctx context.Context, address string) (holds bool, err error)
 
 	// The following are used by Run only.
-	scaler       *scaler   // nil if no replicas are ordered
-	startedAt    time.Time // true time
-	silentRounds int       // rounds without a response from a candidate ahead or the holder
+	scaler       *scaler       // nil if no replicas are ordered
+	startedAt    time.Duration // on the boot-time clock: true time is known only a moment later
+	silentRounds int           // rounds without a response from a candidate ahead or the holder
 	wasHolder    bool
 	storing      attempts // composing and storing
 	sending      attempts
 	givenUp      int64 // newest window that was logged as given up
 
+	ended  atomic.Bool // Run gives the lease up; this daemon does not take it again
 	mu     sync.Mutex
 	table  table // written by Run only, with the lock
 	delays map[int64]time.Duration
@@ -106,10 +108,11 @@
 
 // Run does the duty of this daemon until ctx ends, then releases the lease.
 func (m *Manager) Run(ctx context.Context) error {
-	m.startedAt = m.Now()
+	m.startedAt = m.clock()
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, m.pass(ctx))
 	}
+	m.ended.Store(true)
 	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	m.lease.Release(releaseCtx)
--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,11 +46,12 @@
 // A report whose write got no answer must not be sent before it is known to be stored.
 func TestUnconfirmedReportIsNotSent(t *testing.T) {
 	store, client, now := memstore.New(), &countingClient{}, time.Unix(1767225600, 0)
+	start := now
 	m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: true, Window: testWindow, Due: testDue}, Dependencies{
 		Store: store, Client: client, Now: func() time.Time { return now },
 		Total: func(context.Context, int64) (map[string]int64, error) { return nil, nil },
-	}, func() time.Duration { return time.Hour })
-	m.startedAt = now
+	}, func() time.Duration { return time.Hour + now.Sub(start) })
+	m.startedAt = time.Hour
 	m.lease.Acquire(t.Context())
 	now = now.Add(8 * time.Second)
 	store.SetFaults(memstore.Faults{Hang: true})
@@ -85,8 +87,8 @@
 		{"fleet restarted", at, []storedReport{{Window: window - 9}, {Window: window - 8}}, window},
 		{"fleet older than what is kept", at.Add(-time.Hour), []storedReport{{Window: window - 12}}, window - 12},
 	} {
-		m := newManager(Config{Window: testWindow}, Dependencies{}, func() time.Duration { return 0 })
-		m.startedAt, m.table.reports = at, row.stored
+		m := newManager(Config{Window: testWindow}, Dependencies{Now: func() time.Time { return at }}, func() time.Duration { return 0 })
+		m.table.reports = row.stored
 		if !row.fleetStart.IsZero() {
 			m.FleetStart = func() time.Time { return row.fleetStart }
 		}
@@ -127,3 +129,43 @@
 		m.lease.Acquire(t.Context())
 	}
 }
+
+// Guards against a first window that depends on the wall clock of a daemon that started with a wrong one:
+// true time is known only a moment after the start.
+func TestFirstWindowAfterStartWithWrongClock(t *testing.T) {
+	at, bootTime := time.Unix(1767225600, 0), time.Hour
+	wrong := 30 * time.Second
+	m := newManager(Config{Self: "a", Window: testWindow, LeaseDuration: testLease},
+		Dependencies{Store: memstore.New(), Now: func() time.Time { return at.Add(wrong) }, Order: func() []string { return nil }}, func() time.Duration { return bootTime })
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = m.Run(ended)
+	wrong, bootTime, at = 0, bootTime+10*time.Second, at.Add(10*time.Second)
+	if got, want := m.firstWindow(), windowAt(at.Add(-10*time.Second), testWindow); got != want {
+		t.Errorf("first window %d, want %d", got, want)
+	}
+}
+
+// Guards against orders for replicas above the rate of calls that the platform accepts: the usage reports
+// share it.
+func TestOrdersKeepToTheRateOfCalls(t *testing.T) {
+	items := 432
+	var bootTime atomic.Int64 // also read by renewals in the background
+	bootTime.Store(int64(time.Hour))
+	client := &fakeScaleClient{reply: Accepted, counts: map[string]int{}}
+	deps := testScaler(client, &items).Scaling
+	m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: true, Window: testWindow, Due: testDue, CallsPerSecond: 2},
+		Dependencies{Store: memstore.New(), Client: &countingClient{}, Now: time.Now, Scaling: &deps}, func() time.Duration { return time.Duration(bootTime.Load()) })
+	m.lease.Acquire(t.Context())
+	for range 30 {
+		before := len(client.orders)
+		m.scale(t.Context())
+		if n := len(client.orders) - before; n > 1 {
+			t.Fatalf("%d orders at once, want 500 ms between two calls", n)
+		}
+		bootTime.Add(int64(100 * time.Millisecond))
+	}
+	if len(client.orders) != 3 {
+		t.Errorf("%d orders, want one for each domain", len(client.orders))
+	}
+}
--- a/duty/replicas_test.go
+++ b/duty/replicas_test.go
@@ -137,3 +137,33 @@
 		t.Errorf("%d orders in 20 s while there are none to give, want a few", len(client.orders))
 	}
 }
+
+// spotlessClient gives no replicas in one domain.
+type spotlessClient struct {
+	*fakeScaleClient
+	domain string
+}
+
+func (c spotlessClient) OrderReplicas(ctx context.Context, order ReplicaOrder) (Reply, error) {
+	if order.Domain == c.domain && order.Count > 0 {
+		c.orders = append(c.orders, order)
+		return Fenced, nil
+	}
+	return c.fakeScaleClient.OrderReplicas(ctx, order)
+}
+
+// Guards against replicas that are given up for a domain that has none, and ordered again once it refused.
+func TestDomainWithoutReplicasDoesNotCauseOscillation(t *testing.T) {
+	items := 432
+	client := &fakeScaleClient{reply: Accepted, counts: map[string]int{}}
+	s := testScaler(client, &items)
+	s.Client = spotlessClient{client, "a"}
+	s.run(0, 10*time.Second)
+	before := len(client.orders)
+	s.run(10*time.Second, 40*time.Second)
+	for _, order := range client.orders[before:] {
+		if order.Domain != "a" {
+			t.Errorf("order %+v at constant load", order)
+		}
+	}
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -55,7 +55,11 @@
 		return holderInterval
 	}
 	current := windowAt(now.Add(-composeDelay), m.cfg.Window)
-	return min(max(windowEnd(current, m.cfg.Window).Add(composeDelay).Sub(now), holderInterval), maxHolderInterval)
+	rest := windowEnd(current, m.cfg.Window).Add(composeDelay).Sub(now)
+	if m.scaler != nil {
+		rest = min(rest, m.scaler.decideAt-m.clock())
+	}
+	return min(max(rest, holderInterval), maxHolderInterval)
 }
 
 // loadTable reads the stored reports if this daemon's copy may be out of date. It reports whether the
@@ -107,7 +111,7 @@
 	case oldest > 0:
 		return oldest
 	}
-	return windowAt(m.startedAt, m.cfg.Window)
+	return windowAt(m.Now().Add(m.startedAt-m.clock()), m.cfg.Window)
 }
 
 // waitingReports returns the reports to send and logs those that are given up.
@@ -164,11 +168,7 @@
 		return
 	}
 	reply, err := m.Client.ReportUsage(ctx, UsageReport{Window: r.Window, Body: body, Holder: m.cfg.Self, Token: token})
-	var spacing time.Duration
-	if m.cfg.CallsPerSecond > 0 {
-		spacing = time.Second / time.Duration(m.cfg.CallsPerSecond)
-	}
-	m.sending.record(m.clock(), err != nil || reply != Accepted, spacing)
+	m.sending.record(m.clock(), err != nil || reply != Accepted, m.callSpacing())
 	delay := m.Now().Sub(windowEnd(r.Window, m.cfg.Window))
 	m.recordReply(r.Window, reply, err, delay)
 	if err != nil {
@@ -181,6 +181,14 @@
 	}
 }
 
+// callSpacing returns the time between two calls of the platform's API.
+func (m *Manager) callSpacing() time.Duration {
+	if m.cfg.CallsPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / m.cfg.CallsPerSecond)
+}
+
 func (m *Manager) recordReply(window int64, reply Reply, err error, delay time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/duty/scale.go
+++ b/duty/scale.go
@@ -95,8 +95,17 @@
 		}
 		domains := s.domains(name, service.Autoscale, now)
 		wanted := wantedSpotReplicas(s.peaks[name].add(now, demand[name]), service.Engine.Slots, *service.Autoscale, domains)
+		spare := s.spareReplicas(name, domains, wanted)
 		for _, d := range domains {
-			if s.isDue(target{name, d.name}, wanted[d.name], d, service.Autoscale.BootTime, now) {
+			of := target{name, d.name}
+			if wanted[d.name] < s.current(of, d) {
+				lost := max(min(d.spot, s.current(of, d))-wanted[d.name], 0)
+				if lost > spare {
+					continue
+				}
+				spare -= lost
+			}
+			if s.isDue(of, wanted[d.name], d, service.Autoscale.BootTime, now) {
 				orders = append(orders, ReplicaOrder{Service: name, Domain: d.name, Count: wanted[d.name], IsSpot: true})
 			}
 		}
@@ -105,6 +114,26 @@
 	return orders
 }
 
+// current returns the number of spot replicas that were ordered in a domain, or that serve there if no
+// order is known.
+func (s *scaler) current(of target, d domainState) int {
+	if ordered := s.state(of).ordered; ordered >= 0 {
+		return ordered
+	}
+	return d.spot
+}
+
+// spareReplicas returns how many spot replicas serve beyond those that are wanted in all domains together.
+// No others are given up: a domain that refuses orders now and then would otherwise cause the replicas in
+// the others to be given up each time it is asked, and ordered again after its refusal.
+func (s *scaler) spareReplicas(service string, domains []domainState, wanted map[string]int) int {
+	spare := 0
+	for _, d := range domains {
+		spare += min(d.spot, s.current(target{service, d.name}, d)) - wanted[d.name]
+	}
+	return spare
+}
+
 // isDue reports whether an order for a number of replicas has to be sent.
 func (s *scaler) isDue(of target, wanted int, d domainState, bootTime, now time.Duration) bool {
 	state := s.state(of)
@@ -174,6 +203,10 @@
 	}
 	m.lease.RenewInBackground(ctx)
 	for _, order := range orders {
+		if !m.sending.due(m.clock()) { // the usage reports share the rate of calls
+			m.scaler.decideAt = m.sending.notUntil
+			return
+		}
 		token, held := m.lease.TokenForCall()
 		if !held || ctx.Err() != nil {
 			return
@@ -181,6 +214,7 @@
 		order.Holder, order.Token = m.cfg.Self, token
 		reply, err := m.scaler.Client.OrderReplicas(ctx, order)
 		m.scaler.record(order, reply, err, m.clock())
+		m.sending.notUntil = m.clock() + m.callSpacing()
 		fields := []event.Field{
 			event.F("service", order.Service), event.F("domain", order.Domain), event.F("count", order.Count),
 			event.F("spot", order.IsSpot), event.F("token", token), event.F("reply", string(reply)),
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -46,7 +45,7 @@
 		recorder: recorder, usage: counts, cloud: cloud,
 		manager: duty.NewManager(duty.Config{
 			Self: s.ID, Incarnation: d.started.UnixMilli(), LeaseDuration: s.Orders.LeaseDuration, RequireFence: s.Orders.ReplicasCheckTokens,
-			Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, CallsPerSecond: int(math.Ceil(s.Duties.CallsPerSecond)),
+			Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, CallsPerSecond: s.Duties.CallsPerSecond,
 		}, duty.Dependencies{
 			Store: store, Client: cloud, Total: counts.Total, Now: trueTime.Now, Order: d.dutyOrder, Members: d.members, Conns: conns, Scaling: scaling, Log: log,
 		}),
