duty: a report is composed before it is due if no other daemon responds

In a fleet of two, one of which is down, the roster removes no daemon, and Total failed for each window: nothing was reported until the other daemon was back.

--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/peer"
 	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
 )
@@ -169,3 +170,28 @@
 		t.Errorf("%d orders, want one for each domain", len(client.orders))
 	}
 }
+
+// Guards against a fleet of two daemons, one of which is down, that never reports: the roster removes no
+// daemon from so small a fleet, so that no other daemon responds with its counts.
+func TestReportIsComposedWithoutOtherDaemonsBeforeItIsDue(t *testing.T) {
+	start := time.Unix(1767225600, 0)
+	client, now := &countingClient{}, start
+	m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: true, Window: testWindow, Due: testDue}, Dependencies{
+		Store: memstore.New(), Client: client, Now: func() time.Time { return now }, FleetStart: func() time.Time { return start },
+		Total: func(context.Context, int64) (map[string]int64, error) {
+			return map[string]int64{"hule930": 7}, fault.New(fault.Unavailable, "no other daemon responded", "ask again later")
+		},
+	}, func() time.Duration { return time.Hour })
+	m.lease.Acquire(t.Context())
+	now = start.Add(testWindow + 5*time.Second)
+	m.report(t.Context())
+	if len(client.reports) != 0 {
+		t.Error("a report was composed although another daemon may still respond in time")
+	}
+	m.storing = attempts{}
+	now = start.Add(testWindow + testDue - 2*time.Second)
+	m.report(t.Context())
+	if want := `{"WindowId":353445120,"Counts":{"hule930":7}}`; len(client.reports) != 1 || string(client.reports[0].Body) != want {
+		t.Errorf("reports %+v, want one with the body %s", client.reports, want)
+	}
+}
--- a/duty/report.go
+++ b/duty/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/fault"
 )
 
 // markTableStale causes the stored reports to be read again: another holder may have stored some since
@@ -150,11 +151,17 @@
 	m.storing.record(m.clock(), failed, 0)
 }
 
+// incompleteMargin is the time before a report is due from which it is composed also if no other daemon
+// responded with its counts: the roster does not remove a daemon that is down from a fleet of two or three.
+// The attempts before are at most maxBackoff apart.
+const incompleteMargin = 4 * time.Second
+
 func (m *Manager) composeBody(ctx context.Context, window int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
 	defer cancel()
 	counts, err := m.Total(ctx, window)
-	if err != nil {
+	isLast := m.Now().Sub(windowEnd(window, m.cfg.Window)) >= m.cfg.Due-incompleteMargin
+	if err != nil && !(isLast && fault.Is(err, fault.Unavailable)) {
 		return nil, err
 	}
 	return EncodeUsage(window, counts)
