--- a/duty/replicas.go
+++ b/duty/replicas.go
@@ -65,6 +65,8 @@
 		if d.unavailable {
 			wanted[d.name] = d.spot // what is left there stays
 		}
+		// None is given up without which the domain has fewer replicas than its bound.
+		wanted[d.name] = max(wanted[d.name], min(d.spot, scale.Min-d.plain))
 	}
 	return wanted
 }
--- a/duty/replicas_test.go
+++ b/duty/replicas_test.go
@@ -29,14 +29,15 @@
 		domains []domainState
 		want    map[string]int
 	}{
-		"no trainer":                            {0, testScale(), testDomains(10), map[string]int{"a": 0, "b": 0, "c": 0}},
-		"enough replicas":                       {200, testScale(), testDomains(10), map[string]int{"a": 0, "b": 0, "c": 0}},
-		"steps of three trainers":               {432, testScale(), testDomains(10), map[string]int{"a": 2, "b": 2, "c": 2}},
-		"the cheaper domains get the remainder": {408, testScale(), testDomains(10), map[string]int{"a": 2, "b": 1, "c": 1}},
-		"more than the bound of the domains":    {9000, testScale(), testDomains(10), map[string]int{"a": 20, "b": 20, "c": 20}},
-		"none to be had in one domain":          {432, testScale(), unavailable, map[string]int{"a": 2, "b": 3, "c": 3}},
-		"replicas of a domain are lost":         {432, testScale(), []domainState{{name: "a", price: 0.85}, {name: "b", price: 1.2, plain: 10}, {name: "c", price: 1, plain: 10}}, map[string]int{"a": 6, "b": 5, "c": 5}},
-		"no spot replicas on the platform":      {9000, noSpot, testDomains(10), map[string]int{"a": 0, "b": 0, "c": 0}},
+		"no trainer":                             {0, testScale(), testDomains(10), map[string]int{"a": 0, "b": 0, "c": 0}},
+		"enough replicas":                        {200, testScale(), testDomains(10), map[string]int{"a": 0, "b": 0, "c": 0}},
+		"steps of three trainers":                {432, testScale(), testDomains(10), map[string]int{"a": 2, "b": 2, "c": 2}},
+		"the cheaper domains get the remainder":  {408, testScale(), testDomains(10), map[string]int{"a": 2, "b": 1, "c": 1}},
+		"more than the bound of the domains":     {9000, testScale(), testDomains(10), map[string]int{"a": 20, "b": 20, "c": 20}},
+		"none to be had in one domain":           {432, testScale(), unavailable, map[string]int{"a": 2, "b": 3, "c": 3}},
+		"replicas of a domain are lost":          {432, testScale(), []domainState{{name: "a", price: 0.85}, {name: "b", price: 1.2, plain: 10}, {name: "c", price: 1, plain: 10}}, map[string]int{"a": 6, "b": 5, "c": 5}},
+		"spot replicas that keep the bound stay": {0, testScale(), []domainState{{name: "a", price: 0.85, spot: 3}, {name: "b", price: 1.2, plain: 1, spot: 3}, {name: "c", price: 1}}, map[string]int{"a": 1, "b": 0, "c": 0}},
+		"no spot replicas on the platform":       {9000, noSpot, testDomains(10), map[string]int{"a": 0, "b": 0, "c": 0}},
 	} {
 		if got := wantedSpotReplicas(row.items, 6, row.scale, row.domains); !maps.Equal(got, row.want) {
 			t.Errorf("%s: got %v, want %v", name, got, row.want)
