--- a/lease/lease.go
+++ b/lease/lease.go
@@ -137,7 +137,15 @@
 	if version == 0 || err != nil {
 		return
 	}
-	if _, err := l.store.Update(ctx, l.cfg.Key, value, version); err == nil {
+	_, err = l.store.Update(ctx, l.cfg.Key, value, version)
+	if fault.Is(err, fault.Conflict) {
+		// A renewal that was canceled by the stop may have taken effect.
+		current, stored, readable, readErr := l.read(ctx)
+		if readErr == nil && readable && !stored.Released && stored.Holder == l.cfg.Self && stored.Incarnation == l.cfg.Incarnation {
+			_, err = l.store.Update(ctx, l.cfg.Key, value, current)
+		}
+	}
+	if err == nil {
 		l.log.Log(event.LeaseReleased, event.F("key", l.cfg.Key), event.F("token", token))
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -303,3 +303,22 @@
 	}
 	return objectapi.Object{}, fault.New(fault.Ambiguous, "the answer was lost", "")
 }
+
+// Guards against a planned stop during a renewal, whose write takes effect although it was canceled: the
+// lease stayed unreleased, and the successor had to wait until it expired.
+func TestReleaseAfterCanceledRenewal(t *testing.T) {
+	store, clk, leases := newLeases(true)
+	a, b := leases["a"], leases["b"]
+	a.Acquire(t.Context())
+	limited, cancel := context.WithCancel(t.Context())
+	a.store = cancelAfterUpdate{store, cancel}
+	if a.renew(limited, a.version, 0) {
+		t.Fatal("the renewal was not canceled")
+	}
+	a.store = store
+	a.Release(t.Context())
+	clk.elapsed += 10 * time.Millisecond
+	if !b.Acquire(t.Context()) {
+		t.Error("the lease was not released")
+	}
+}
