--- a/connlimit/decide.go
+++ b/connlimit/decide.go
@@ -17,7 +17,7 @@
 // Load is what a connection costs the process.
 type Load struct {
 	State    State
-	Served   bool      // a request was received on the connection before
+	Served   bool      // a request was received on the connection before, or the connection was removed
 	Raw      int64     // bytes of the unfinished head as received
 	Charge   int64     // memory that the unfinished request's head takes
 	LastByte time.Time // when the last byte arrived, or the connection was opened, or its last request ended
