--- a/lease/lease.go
+++ b/lease/lease.go
@@ -137,7 +137,15 @@
 	if version == 0 || err != nil {
 		return
 	}
-	if _, err := l.store.Update(ctx, l.cfg.Key, value, version); err == nil {
+	_, err = l.store.Update(ctx, l.cfg.Key, value, version)
+	if fault.Is(err, fault.Conflict) {
+		// A renewal that was canceled by the stop may have taken effect.
+		current, stored, readable, readErr := l.read(ctx)
+		if readErr == nil && readable && !stored.Released && stored.Holder == l.cfg.Self && stored.Incarnation == l.cfg.Incarnation {
+			_, err = l.store.Update(ctx, l.cfg.Key, value, current)
+		}
+	}
+	if err == nil {
 		l.log.Log(event.LeaseReleased, event.F("key", l.cfg.Key), event.F("token", token))
 	}
 }
@@ -233,12 +241,16 @@
 	return l.renew(ctx, version, wait)
 }
 
-// renewOwn renews the lease that an earlier write of this process has left in the store.
-func (l *Lease) renewOwn(ctx context.Context, version int64) bool {
+// renewOwn renews the lease that an earlier write of this process has left in the store. If the answer to
+// that write was lost, its wait for the calls of the previous holder is not known to be over.
+func (l *Lease) renewOwn(ctx context.Context, version int64, current leaseValue) bool {
 	l.mu.Lock()
 	var wait time.Duration
-	if version != l.version && l.waitsForOwnCalls() {
-		wait = max(l.cfg.Duration-l.sinceLastCall(), 0)
+	if version != l.version {
+		wait = time.Duration(current.WaitMs) * time.Millisecond
+		if l.waitsForOwnCalls() {
+			wait = max(l.cfg.Duration-l.sinceLastCall(), wait)
+		}
 	}
 	l.mu.Unlock()
 	return l.renew(ctx, version, wait)
@@ -256,7 +268,7 @@
 	case readable && current.Holder == l.cfg.Self && current.Incarnation != l.cfg.Incarnation:
 		return l.adoptOwn(ctx, version, current)
 	case readable && current.Holder == l.cfg.Self:
-		return l.renewOwn(ctx, version)
+		return l.renewOwn(ctx, version, current)
 	case readable && current.Released:
 		return l.renew(ctx, version, l.cfg.Duration-time.Duration(current.SinceLastCallMs)*time.Millisecond)
 	case !l.expired(version):
