connlimit: a request whose handler does not read the body is not closed

Cause: the connection counted as receiving a body from the end of the head on, so that a call with an unread body could be closed as idle, or as the longest idle one, while it ran (found in a review).

Change: it counts as receiving a body from the first read on. Besides: names that a review stumbled over, and a split without weights no longer converts NaN.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -79,7 +79,9 @@
 			weights += share.Weight
 		}
 		for _, share := range route.Split {
-			items[share.Service] += int(float64(job.total()) * share.Weight / weights)
+			if weights > 0 {
+				items[share.Service] += int(float64(job.total()) * share.Weight / weights)
+			}
 		}
 	}
 	return items
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -148,26 +148,30 @@
 		c, ok := r.Context().Value(connKey{}).(*Conn)
 		switch {
 		case !ok:
-		case r.Body == nil || r.Body == http.NoBody:
-			c.limiter.setState(c, Running)
 		default:
-			c.limiter.setState(c, Body)
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			c.limiter.setState(c, Running) // also if the handler does not read the body
+			if r.Body != nil && r.Body != http.NoBody {
+				r.Body = &body{ReadCloser: r.Body, conn: c}
+			}
 		}
 		inner.ServeHTTP(w, r)
 	})
 }
 
-// body reports when a request body is complete.
+// body reports while a request body is being read and not complete.
 type body struct {
 	io.ReadCloser
 
-	conn  *Conn
-	ended bool
+	conn         *Conn
+	begun, ended bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		b.conn.limiter.setState(b.conn, Body)
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && !b.ended {
 		b.ended = true
--- a/connlimit/http_test.go
+++ b/connlimit/http_test.go
@@ -17,11 +17,13 @@
 // requests, early responses, panics, hijacks and bodies that are sent after 100 Continue.
 func TestOrdinaryClientsLeaveNoCharge(t *testing.T) {
 	refused := make(chan string, 1000)
-	l := New(Config{HeadMemory: 1 << 20, MaxConnections: 400,
+	l := New(Config{
+		HeadMemory: 1 << 20, MaxConnections: 400,
 		Bounds: func(Address) Bounds {
 			return Bounds{HeadBytes: 28 << 10, HeadTime: 2 * time.Second, IdleTime: 2 * time.Second}
 		},
-		Refused: func(_ Address, r Reason, client string) { refused <- string(r) + " " + client }})
+		Refused: func(_ Address, r Reason, client string) { refused <- string(r) + " " + client },
+	})
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/duty/candidate.go
+++ b/duty/candidate.go
@@ -26,7 +26,7 @@
 type action int
 
 const (
-	leave   action = iota // the lease stays where it is, and the store is not called
+	stay    action = iota // the lease stays where it is, and the store is not called
 	observe               // read the lease, which starts its expiry on this daemon's clock
 	acquire               // try to take the lease
 )
@@ -44,11 +44,11 @@
 // first round without a response already reads the lease, so that its expiry runs during the others.
 func nextAction(ahead []string, holder string, answers map[string]answer, silentRounds int) (action, int) {
 	if answers[holder].holds {
-		return leave, 0
+		return stay, 0
 	}
 	for _, id := range ahead {
 		if answers[id].responded {
-			return leave, 0
+			return stay, 0
 		}
 	}
 	silentRounds++
@@ -58,5 +58,5 @@
 	case silentRounds == 1:
 		return observe, silentRounds
 	}
-	return leave, silentRounds
+	return stay, silentRounds
 }
--- a/duty/decide_test.go
+++ b/duty/decide_test.go
@@ -19,12 +19,12 @@
 		want    action
 		rounds  int
 	}{
-		{"holder ahead responds", []string{"a"}, "a", map[string]answer{"a": holds}, 2, leave, 0},
-		{"holder behind responds", nil, "c", map[string]answer{"c": holds}, 2, leave, 0},
-		{"candidate ahead without the lease responds", []string{"a"}, "c", map[string]answer{"a": up, "c": down}, 2, leave, 0},
+		{"holder ahead responds", []string{"a"}, "a", map[string]answer{"a": holds}, 2, stay, 0},
+		{"holder behind responds", nil, "c", map[string]answer{"c": holds}, 2, stay, 0},
+		{"candidate ahead without the lease responds", []string{"a"}, "c", map[string]answer{"a": up, "c": down}, 2, stay, 0},
 		{"former holder behind responds", nil, "c", map[string]answer{"c": up}, 0, observe, 1},
 		{"first round", []string{"a"}, "a", nil, 0, observe, 1},
-		{"second round", []string{"a"}, "a", nil, 1, leave, 2},
+		{"second round", []string{"a"}, "a", nil, 1, stay, 2},
 		{"third round", []string{"a"}, "a", nil, 2, acquire, 3},
 		{"later rounds", []string{"a"}, "a", nil, 7, acquire, 8},
 		{"nobody known", nil, "", nil, 2, acquire, 3},
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -1,5 +1,6 @@
 // Package duty makes the calls to the platform's API that one daemon at a time makes for the whole
-// fleet: the reports of how many requests each organisation sent in each window of time.
+// fleet: the reports of how many requests each organisation sent in each window of time, and the orders
+// for replicas.
 package duty
 
 import (
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -160,7 +160,7 @@
 		m.lease.Observe(ctx)
 	case acquire:
 		m.lease.Acquire(ctx)
-	case leave:
+	case stay:
 	}
 }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -209,7 +209,7 @@
 	}
 	leasesCtx, cancelLeases := context.WithCancel(ctx)
 	defer cancelLeases()
-	runUntilStop(leasesCtx, &running, func(ctx context.Context) { _ = d.Waves.Run(ctx) }, d.Duties.runReports)
+	startLeases(leasesCtx, &running, func(ctx context.Context) { _ = d.Waves.Run(ctx) }, d.Duties.runReports)
 	frontServer := d.serveFront(d.listeners.front)
 	readyServer := serveHTTP(d.listeners.ready, platform.ReadyHandler(d.ready))
 	metricServer := d.serveMetrics(d.listeners.metric)
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -121,9 +121,9 @@
 	return dutiesDump{Reports: d.manager.Dump(), Usage: d.usage.State()}
 }
 
-// runUntilStop runs functions that give a lease up as soon as a stop is requested, so that it passes to
-// the next daemon while this one still serves its callers.
-func runUntilStop(ctx context.Context, running *sync.WaitGroup, runs ...func(context.Context)) {
+// startLeases starts the functions that hold leases. Their context ends as soon as a stop is requested, so
+// that the leases pass to the next daemons while this one still serves its callers.
+func startLeases(ctx context.Context, running *sync.WaitGroup, runs ...func(context.Context)) {
 	for _, run := range runs {
 		running.Go(func() { run(ctx) })
 	}
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -75,9 +75,9 @@
 			guard.OnChange(g.Notify)
 			return g
 		},
-		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, usage *duties, measures *measure.Set) *gateway.Gateway {
+		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, calls *duties, measures *measure.Set) *gateway.Gateway {
 			g := gateway.New(backend, tracker, guard, measures, d.log)
-			g.OnRun(usage.record)
+			g.OnRun(calls.record)
 			return g
 		},
 		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
