duty: the body of a report is encoded by the adapter

Cause: the field names of the platform's API stood in package duty, and remedies and comments named fields of its settings.

Change: Client has EncodeUsage, which the adapter implements; texts name the settings of this program.

--- a/duty/decide_test.go
+++ b/duty/decide_test.go
@@ -98,19 +98,3 @@
 		}
 	}
 }
-
-// Guards against bodies that differ between two daemons with the same counts.
-func TestEncodeUsage(t *testing.T) {
-	for _, row := range []struct {
-		counts map[string]int64
-		want   string
-	}{
-		{map[string]int64{"hule930": 412}, `{"WindowId":353445120,"Counts":{"hule930":412}}`},
-		{map[string]int64{"b": 2, "a": 1}, `{"WindowId":353445120,"Counts":{"a":1,"b":2}}`},
-		{nil, `{"WindowId":353445120,"Counts":{}}`},
-	} {
-		if got, err := EncodeUsage(353445120, row.counts); err != nil || string(got) != row.want {
-			t.Errorf("%s, %v, want %s", got, err, row.want)
-		}
-	}
-}
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -3,15 +3,12 @@
 // for replicas.
 package duty
 
-import (
-	"context"
-	"encoding/json"
-)
+import "context"
 
 // UsageReport is one call of the platform's API.
 type UsageReport struct {
 	Window int64
-	Body   []byte // as EncodeUsage returned it before the first call; sent unchanged
+	Body   []byte // as Client.EncodeUsage returned it before the first call; sent unchanged
 	Holder string // daemon that holds the duty
 	Token  int64  // fencing token
 }
@@ -28,19 +25,8 @@
 
 // Client calls the platform's API. After an error, the report may have been accepted or may still be.
 type Client interface {
+	// EncodeUsage returns the body of a window's report with the requests of each organisation. It is
+	// encoded once, stored and sent byte for byte.
+	EncodeUsage(window int64, counts map[string]int64) ([]byte, error)
 	ReportUsage(ctx context.Context, report UsageReport) (Reply, error)
 }
-
-// usageBody is the body of a report.
-type usageBody struct {
-	WindowID int64            `json:"WindowId"`
-	Counts   map[string]int64 `json:"Counts"` // by organisation
-}
-
-// EncodeUsage returns the body of a report.
-func EncodeUsage(window int64, counts map[string]int64) ([]byte, error) {
-	if counts == nil {
-		counts = map[string]int64{} // an object, not null
-	}
-	return json.Marshal(usageBody{WindowID: window, Counts: counts})
-}
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -34,11 +34,11 @@
 type Config struct {
 	Self           string        // ID of this daemon
 	Incarnation    int64         // ms since the Unix epoch at its start
-	LeaseDuration  time.Duration // duration of the lease (LeaseMs)
-	RequireFence   bool          // the platform refuses calls with an older fencing token
-	Window         time.Duration // length of a window (UsageWindowS)
-	Due            time.Duration // time from a window's end until its report is due (UsageLateS)
-	CallsPerSecond float64       // calls that the platform accepts from all daemons together (DutyPerS), 0 for no limit
+	LeaseDuration  time.Duration // duration of the lease
+	Fenced         bool          // the platform refuses calls with an older fencing token
+	Window         time.Duration // length of a window
+	Due            time.Duration // time from a window's end until its report is due
+	CallsPerSecond float64       // calls that the platform accepts from all daemons together, 0 for no limit
 }
 
 // Dependencies are the dependencies of a Manager.
@@ -94,7 +94,7 @@
 		Dependencies: deps, cfg: cfg, clock: bootTime,
 		lease: lease.New(lease.Config{
 			Key: leaseKey, Self: cfg.Self, Incarnation: cfg.Incarnation, Duration: cfg.LeaseDuration,
-			Fenced: cfg.RequireFence, ConstantToken: true, Clock: bootTime,
+			Fenced: cfg.Fenced, ConstantToken: true, Clock: bootTime,
 		}, deps.Store, deps.Log),
 		table:  table{store: deps.Store, writer: writerName(cfg.Self, cfg.Incarnation)},
 		delays: map[int64]time.Duration{},
--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,17 @@
 // countingClient accepts all reports.
 type countingClient struct{ reports []UsageReport }
 
+// testBody is the body of a report in tests.
+type testBody struct {
+	Window int64
+	Counts map[string]int64
+}
+
+// EncodeUsage implements Client. The real encoding is that of the platform's adapter.
+func (*countingClient) EncodeUsage(window int64, counts map[string]int64) ([]byte, error) {
+	return json.Marshal(testBody{Window: window, Counts: counts})
+}
+
 func (c *countingClient) ReportUsage(_ context.Context, report UsageReport) (Reply, error) {
 	c.reports = append(c.reports, report)
 	return Accepted, nil
@@ -25,7 +37,7 @@
 func TestSuspendedHolderSendsNothingWithoutTokenChecks(t *testing.T) {
 	for _, fence := range []bool{false, true} {
 		client, bootTime := &countingClient{}, time.Hour
-		m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: fence, Window: testWindow, Due: testDue},
+		m := newManager(Config{Self: "a", LeaseDuration: testLease, Fenced: fence, Window: testWindow, Due: testDue},
 			Dependencies{Store: memstore.New(), Client: client, Now: time.Now}, func() time.Duration { return bootTime })
 		if !m.lease.Acquire(t.Context()) {
 			t.Fatal("the free lease was not acquired")
@@ -48,7 +60,7 @@
 func TestUnconfirmedReportIsNotSent(t *testing.T) {
 	store, client, now := memstore.New(), &countingClient{}, time.Unix(1767225600, 0)
 	start := now
-	m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: true, Window: testWindow, Due: testDue}, Dependencies{
+	m := newManager(Config{Self: "a", LeaseDuration: testLease, Fenced: true, Window: testWindow, Due: testDue}, Dependencies{
 		Store: store, Client: client, Now: func() time.Time { return now },
 		Total: func(context.Context, int64) (map[string]int64, error) { return nil, nil },
 	}, func() time.Duration { return time.Hour + now.Sub(start) })
@@ -155,7 +167,7 @@
 	bootTime.Store(int64(time.Hour))
 	client := &fakeScaleClient{reply: Accepted, counts: map[string]int{}}
 	deps := testScaler(client, &items).Scaling
-	m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: true, Window: testWindow, Due: testDue, CallsPerSecond: 2},
+	m := newManager(Config{Self: "a", LeaseDuration: testLease, Fenced: true, Window: testWindow, Due: testDue, CallsPerSecond: 2},
 		Dependencies{Store: memstore.New(), Client: &countingClient{}, Now: time.Now, Scaling: &deps}, func() time.Duration { return time.Duration(bootTime.Load()) })
 	m.lease.Acquire(t.Context())
 	for range 30 {
@@ -176,7 +188,7 @@
 func TestReportIsComposedWithoutOtherDaemonsBeforeItIsDue(t *testing.T) {
 	start := time.Unix(1767225600, 0)
 	client, now := &countingClient{}, start
-	m := newManager(Config{Self: "a", LeaseDuration: testLease, RequireFence: true, Window: testWindow, Due: testDue}, Dependencies{
+	m := newManager(Config{Self: "a", LeaseDuration: testLease, Fenced: true, Window: testWindow, Due: testDue}, Dependencies{
 		Store: memstore.New(), Client: client, Now: func() time.Time { return now }, FleetStart: func() time.Time { return start },
 		Total: func(context.Context, int64) (map[string]int64, error) {
 			return map[string]int64{"hule930": 7}, fault.New(fault.Unavailable, "no other daemon responded", "ask again later")
@@ -191,7 +203,7 @@
 	m.storing = attempts{}
 	now = start.Add(testWindow + testDue - 2*time.Second)
 	m.report(t.Context())
-	if want := `{"WindowId":353445120,"Counts":{"hule930":7}}`; len(client.reports) != 1 || string(client.reports[0].Body) != want {
+	if want := `{"Window":353445120,"Counts":{"hule930":7}}`; len(client.reports) != 1 || string(client.reports[0].Body) != want {
 		t.Errorf("reports %+v, want one with the body %s", client.reports, want)
 	}
 }
--- a/duty/report.go
+++ b/duty/report.go
@@ -164,7 +164,7 @@
 	if err != nil && !(isLast && fault.Is(err, fault.Unavailable)) {
 		return nil, err
 	}
-	return EncodeUsage(window, counts)
+	return m.Client.EncodeUsage(window, counts)
 }
 
 // send sends one stored report if this daemon still holds the lease right before it.
--- a/duty/world_test.go
+++ b/duty/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -100,6 +101,11 @@
 	return p.ObjectStore.Update(ctx, key, value, version)
 }
 
+// EncodeUsage implements Client. The real encoding is that of the platform's adapter.
+func (*process) EncodeUsage(window int64, counts map[string]int64) ([]byte, error) {
+	return json.Marshal(testBody{Window: window, Counts: counts})
+}
+
 // ReportUsage implements Client. It does not pause: a process that is frozen here has made its call.
 func (p *process) ReportUsage(ctx context.Context, report UsageReport) (Reply, error) {
 	p.mu.Lock()
@@ -196,7 +202,7 @@
 	w.starts++
 	p := &process{ObjectStore: w.store, world: w, id: id, name: id + "#" + strconv.Itoa(w.starts)}
 	p.manager = newManager(Config{
-		Self: id, Incarnation: time.Now().UnixMilli() + int64(w.starts), LeaseDuration: testLease, RequireFence: w.platform.fence,
+		Self: id, Incarnation: time.Now().UnixMilli() + int64(w.starts), LeaseDuration: testLease, Fenced: w.platform.fence,
 		Window: testWindow, Due: testDue, CallsPerSecond: 5,
 	}, Dependencies{
 		Store: p, Client: p,
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -44,7 +44,7 @@
 	return &duties{
 		recorder: recorder, usage: counts, cloud: cloud,
 		manager: duty.NewManager(duty.Config{
-			Self: s.ID, Incarnation: d.started.UnixMilli(), LeaseDuration: s.Orders.LeaseDuration, RequireFence: s.Orders.ReplicasCheckTokens,
+			Self: s.ID, Incarnation: d.started.UnixMilli(), LeaseDuration: s.Orders.LeaseDuration, Fenced: s.Orders.ReplicasCheckTokens,
 			Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, CallsPerSecond: s.Duties.CallsPerSecond,
 		}, duty.Dependencies{
 			Store: store, Client: cloud, Total: counts.Total, Now: trueTime.Now, Order: d.dutyOrder, Members: d.members, Conns: conns, Scaling: scaling, Log: log,
--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -98,7 +98,7 @@
 			fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(unprovenRetryDelay))
 	}
 	g.counts.unauthorized.Add(1)
-	return "", fault.New(fault.Unauthorized, "the API key is missing or unknown", "send a key of your organisation in X-Api-Key", fault.WithOutcome(fault.NotRun))
+	return "", fault.New(fault.Unauthorized, "the API key is missing or unknown", "send a valid key of your organisation", fault.WithOutcome(fault.NotRun))
 }
 
 // CheckOwner returns an error if a batch of one organisation is called with a key of another. Batches
