soak: organisations with API keys, and usage reports

The soak ran the daemons without organisations and without duties, so that no random series of faults reached the withdrawal of API keys, the proofs of the configuration or the usage reports.

The configuration now has three organisations with two keys each, and a public scoring route. Callers send valid and withdrawn keys or none, and always a forged organisation. The new operator action operator-key withdraws a key and adds another one; operator-key-outage does so during an outage of the store that is longer than the withdrawal time. A fake of the platform's API behind its own link, with the faults of all links, receives the reports.

Checked by replicas and clients: the organisation and the absence of the key at replicas, requests without a key, requests sent later than the withdrawal time after a withdrawal, and 401 for a key that was added more than 3 s before, whatever faults are active. Checked by the platform's API, also for calls that it refuses: one body for each window and one holder for each token. At the end of a run, windows without faults must be reported in time with at least the requests that were answered in them, and all reports together must contain no more requests than ran. These windows begin 15 s after the last fault, since recovery may take that long.

A replica's fake calls OnRun for each run. The test row of a late item now submits that item, since the checker reports runs of unknown requests.

--- a/standin/cluster/edge.go
+++ b/standin/cluster/edge.go
@@ -21,8 +21,8 @@
 }
 
 // StartEdgeDaemon starts an edge daemon that uses the object store at storeAddress. seeds holds the
-// peer addresses that it contacts first.
-func (c *Cluster) StartEdgeDaemon(id, storeAddress, domain, seeds string) (*EdgeDaemon, error) {
+// peer addresses that it contacts first. extraSettings is added to its settings file.
+func (c *Cluster) StartEdgeDaemon(id, storeAddress, domain, seeds, extraSettings string) (*EdgeDaemon, error) {
 	var allocated [3]string
 	for i := range allocated {
 		address, err := c.addresses.allocate()
@@ -43,7 +43,7 @@
 address = %s
 [orders]
 fenced = yes
-`, id, allocated[0], allocated[1], allocated[2], domain, seeds, storeAddress)
+`, id, allocated[0], allocated[1], allocated[2], domain, seeds, storeAddress) + extraSettings
 	path := filepath.Join(c.Dir, id+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		return nil, err
--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -35,9 +35,10 @@
 	ID            string
 	Service       string
 	FailureDomain string
-	Model         string // "" for a plain server
-	Events        int    // number of events of each completion
-	OnCrash       func() // called when a request has ended the replica, must not block; may be nil
+	Model         string                              // "" for a plain server
+	Events        int                                 // number of events of each completion
+	OnCrash       func()                              // called when a request has ended the replica, must not block; may be nil
+	OnRun         func(id string, header http.Header) // called when a request begins to run, must not block; may be nil
 }
 
 // Replica is the fake backend server. Its methods are safe for concurrent use.
@@ -209,6 +210,9 @@
 	}
 	r.running++
 	r.mu.Unlock()
+	if !f.Full && r.OnRun != nil {
+		r.OnRun(id, req.Header)
+	}
 	defer func() {
 		r.mu.Lock()
 		r.running--
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -40,6 +40,11 @@
 	endedItems        map[string]endedItem
 	newestConfigs     map[string]int // by process: newest configuration version that it has served
 	completeStepCount int
+
+	keys               []*apiKey // in the order in which they were added
+	sent               map[string]sentRequest
+	runsByOrganisation map[string]int // of callers' requests
+	completed          []completedRequest
 }
 
 // endedItem is an item that was not yet listed when its batch ended.
@@ -51,7 +56,7 @@
 func newChecker(replicas func() []*fakereplica.Replica) *checker {
 	return &checker{
 		replicas: replicas, reportedNotRun: map[string]bool{}, nonIdempotent: map[string]bool{}, resultsByBatch: map[string][]result{},
-		endedItems: map[string]endedItem{}, newestConfigs: map[string]int{},
+		endedItems: map[string]endedItem{}, newestConfigs: map[string]int{}, sent: map[string]sentRequest{}, runsByOrganisation: map[string]int{},
 	}
 }
 
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -32,6 +32,17 @@
 	case "replica":
 		r.replicaFault(f, kind)
 	case "operator":
+		switch kind {
+		case "key":
+			r.publishConfig(organisations[f.Target])
+			return
+		case "key-outage": // lasts until requests with the withdrawn key are sent after withdrawalTime
+			r.store.SetFaults(fakeplatform.Faults{Outage: true})
+			r.publishConfig(organisations[f.Target])
+			r.sleep(withdrawalTime + 2*time.Second)
+			r.store.SetFaults(fakeplatform.Faults{})
+			return
+		}
 		if kind == "hup" {
 			d := r.daemons[f.Target]
 			d.mu.Lock()
@@ -41,7 +52,7 @@
 			}
 			return
 		}
-		r.publishConfig()
+		r.publishConfig("")
 	}
 }
 
@@ -53,6 +64,8 @@
 		return r.daemons[target].storeLink
 	case "peers":
 		return r.daemons[target].peerLink
+	case "cloud":
+		return r.cloudLink
 	}
 	return r.replica(target).link
 }
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -31,6 +31,8 @@
 
 	http   *http.Client
 	target func() (address, processName string)
+
+	organisation string // whose newest key is sent, "" for any key
 }
 
 func newClient(ch *checker, target func() (string, string)) *client {
@@ -47,6 +49,11 @@
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
+	req.Header.Set(headerOrganisation, "forged") // must not reach a replica
+	key, sentAt := c.chooseKey(c.organisation, id, path), time.Now()
+	if key != nil {
+		req.Header.Set(headerKey, key.text)
+	}
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
@@ -56,6 +63,9 @@
 	}
 	defer resp.Body.Close()
 	respBody, err := io.ReadAll(resp.Body)
+	if err == nil {
+		c.checkAccess(key, id, path, resp.StatusCode, sentAt)
+	}
 	return response{status: resp.StatusCode, body: string(respBody), err: err}, processName
 }
 
@@ -63,22 +73,24 @@
 func (c *client) runCaller(ctx context.Context, name string, newestConfig func() int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%s-%d", name, n)
-		switch rand.IntN(6) {
+		switch rand.IntN(7) {
 		case 0:
 			c.nonIdempotentCall(ctx, id)
 		case 1:
 			c.streamCall(ctx, id)
 		case 2:
 			c.routeCall(ctx, id, 1+rand.IntN(newestConfig()))
+		case 3:
+			c.plainCall(ctx, id, publicPath+"x")
 		default:
-			c.plainCall(ctx, id)
+			c.plainCall(ctx, id, "/records/x")
 		}
 		sleepContext(ctx, callerInterval)
 	}
 }
 
-func (c *client) plainCall(ctx context.Context, id string) {
-	if got, _ := c.call(ctx, http.MethodPost, "/records/x", id, id); got.err == nil {
+func (c *client) plainCall(ctx context.Context, id, path string) {
+	if got, _ := c.call(ctx, http.MethodPost, path, id, id); got.err == nil {
 		c.checkPlain(id, id, got.status, got.body)
 	}
 }
@@ -123,6 +135,7 @@
 	for step := int64(0); ctx.Err() == nil; step++ {
 		batch, minVersion := fmt.Sprintf("%s-%d", name, step), max(step-1, 1)
 		body, ids := submission(batch, step, minVersion)
+		c.expectItems(c.organisation, ids)
 		if !c.retryUntil(ctx, func() bool {
 			got, _ := c.call(ctx, http.MethodPost, "/drafts/s", batch, body)
 			return got.err == nil && got.status == http.StatusAccepted
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -27,15 +27,16 @@
 type Fault struct {
 	StartOffset, Duration time.Duration
 	Kind                  string
-	Target                int // index of the daemon or replica; 0 if the kind has no target
+	Target                int // index of the daemon, replica or organisation; 0 if the kind has no target
 }
 
 // Kinds of faults, grouped by what they affect. A link is named by its other end: callers,
 // store and peers for the links of one daemon, replica for the link from all daemons to one
-// replica. drop-up discards the data sent to the server of the link, drop-down the data that it
-// sends.
+// replica, cloud for the link from all daemons to the platform's API. drop-up discards the data
+// sent to the server of the link, drop-down the data that it sends.
 var (
 	links          = []string{"callers", "store", "peers", "replica"}
+	accessFaults   = []string{"operator-key", "operator-key-outage", "link-cloud-delay", "link-cloud-reset", "link-cloud-drop-up", "link-cloud-drop-down", "link-cloud-silence", "link-cloud-refuse"}
 	linkFaults     = []string{"delay", "reset", "drop-up", "drop-down", "silence", "refuse"}
 	processFaults  = []string{"term", "kill", "kill-twice", "freeze", "kill-all", "roll"}
 	storeFaults    = []string{"outage", "slow", "lossy", "refuse-writes", "forget", "silent-watches"}
@@ -44,7 +45,10 @@
 )
 
 // FaultKinds returns all kinds of faults.
-func FaultKinds() []string {
+func FaultKinds() []string { return append(baseFaults(), accessFaults...) }
+
+// baseFaults returns all kinds but accessFaults. Plans of older seeds depend on their number.
+func baseFaults() []string {
 	var kinds []string
 	for _, link := range links {
 		for _, f := range linkFaults {
@@ -62,16 +66,23 @@
 
 const (
 	warmUp             = time.Second // before the first fault
-	faultsPerSecond    = 1.2         // mean rate at which faults begin, repeated faults not counted
+	faultsPerSecond    = 1.2         // mean rate at which baseFaults begin, repeated faults not counted
+	accessPerSecond    = 0.5         // mean rate at which accessFaults begin
 	faultDurationRange = 4 * time.Second
 )
 
-// GeneratePlan generates the plan that the seed determines. Faults may overlap and repeat.
+// GeneratePlan generates the plan that the seed determines. Faults may overlap and repeat. The
+// accessFaults have their own random numbers, so that older seeds keep their other faults.
 func GeneratePlan(o Options) []Fault {
-	rng := rand.New(rand.NewPCG(o.Seed, 0x50a4))
-	kinds := FaultKinds()
+	plan := generateSeries(o, rand.New(rand.NewPCG(o.Seed, 0x50a4)), baseFaults(), faultsPerSecond)
+	plan = append(plan, generateSeries(o, rand.New(rand.NewPCG(o.Seed, 0x50a5)), accessFaults, accessPerSecond)...)
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].StartOffset < plan[j].StartOffset })
+	return plan
+}
+
+func generateSeries(o Options, rng *rand.Rand, kinds []string, perSecond float64) []Fault {
 	var plan []Fault
-	for offset := warmUp; offset < o.FaultDuration; offset += time.Duration(rng.ExpFloat64() / faultsPerSecond * float64(time.Second)) {
+	for offset := warmUp; offset < o.FaultDuration; offset += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)) {
 		f := Fault{
 			StartOffset: offset.Round(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))],
 			Duration: (200*time.Millisecond + time.Duration(rng.Int64N(int64(faultDurationRange)))).Round(time.Millisecond),
@@ -80,6 +91,9 @@
 		switch {
 		case strings.HasPrefix(f.Kind, "link-replica"), strings.HasPrefix(f.Kind, "replica-"):
 			f.Target = rng.IntN(2 * o.Replicas)
+		case strings.HasPrefix(f.Kind, "operator-key"):
+			f.Target = rng.IntN(len(organisations))
+		case strings.HasPrefix(f.Kind, "link-cloud-"):
 		case strings.HasPrefix(f.Kind, "link-"), strings.HasPrefix(f.Kind, "process-"), f.Kind == "operator-hup":
 			f.Target = rng.IntN(o.Daemons)
 		}
@@ -92,7 +106,6 @@
 			}
 		}
 	}
-	sort.SliceStable(plan, func(i, j int) bool { return plan[i].StartOffset < plan[j].StartOffset })
 	return plan
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -28,9 +28,9 @@
 type run struct {
 	*testbed
 
-	checker    *checker
 	ctx        context.Context
 	injections sync.WaitGroup
+	reported   int // requests in all accepted reports
 }
 
 // Run executes the plan that the seed determines and writes the plan and a summary to o.Out. An
@@ -45,13 +45,14 @@
 
 // Summary holds the counts and the duration of a run without a broken promise.
 type Summary struct {
-	Faults, Responses, Steps, Samples int
-	Duration                          time.Duration
+	Faults, Responses, Steps, Samples, Reported int
+	Duration                                    time.Duration
 }
 
 // String implements fmt.Stringer.
 func (s Summary) String() string {
-	return fmt.Sprintf("%d faults, %d responses, %d steps, %d samples each read complete and once, %.1f s", s.Faults, s.Responses, s.Steps, s.Samples, s.Duration.Seconds())
+	return fmt.Sprintf("%d faults, %d responses, %d steps, %d samples each read complete and once, %d requests reported, %.1f s",
+		s.Faults, s.Responses, s.Steps, s.Samples, s.Reported, s.Duration.Seconds())
 }
 
 // RunPlan is like Run, but executes the given plan and returns the summary.
@@ -61,8 +62,8 @@
 	if err != nil {
 		return Summary{}, err
 	}
-	r := &run{testbed: tb, checker: newChecker(tb.allReplicas)}
-	ctx, cancel := context.WithTimeout(ctx, o.FaultDuration+2*recoveryTimeout+20*time.Second)
+	r := &run{testbed: tb}
+	ctx, cancel := context.WithTimeout(ctx, o.FaultDuration+2*recoveryTimeout+usageDue+30*time.Second)
 	defer cancel()
 	start := time.Now()
 	err = r.execute(ctx, plan)
@@ -77,7 +78,8 @@
 		return Summary{}, fmt.Errorf("seed %d: %w; plan and logs are in %s", o.Seed, err, r.saveRun(plan))
 	}
 	return Summary{
-		Faults: len(plan), Responses: r.checker.responses(), Steps: r.checker.completeSteps(), Samples: r.checker.completeSteps() * groupCount * groupSize, Duration: time.Since(start),
+		Faults: len(plan), Responses: r.checker.responses(), Steps: r.checker.completeSteps(), Samples: r.checker.completeSteps() * groupCount * groupSize,
+		Reported: r.reported, Duration: time.Since(start),
 	}, nil
 }
 
@@ -119,7 +121,11 @@
 			newClient(r.checker, r.randomDaemon).runCaller(loadCtx, fmt.Sprint("caller-", i), r.newestConfig)
 		})
 	}
-	load.Go(func() { newClient(r.checker, r.randomDaemon).runTrainer(loadCtx, "steps", r.publishVersion) })
+	load.Go(func() {
+		trainer := newClient(r.checker, r.randomDaemon)
+		trainer.organisation = organisations[0]
+		trainer.runTrainer(loadCtx, "steps", r.publishVersion)
+	})
 	background.Go(func() {
 		for r.checker.brokenPromise() == "" {
 			select {
@@ -131,14 +137,23 @@
 		}
 	})
 	r.injectAll(ctx, plan)
+	faultsEnded := time.Now()
 	if r.checker.brokenPromise() != "" {
 		return nil
 	}
 	r.checkRecovery(ctx)
+	if r.checker.brokenPromise() != "" {
+		return nil
+	}
+	first, last := r.runCalmWindows(ctx, faultsEnded)
 	endLoad()
 	load.Wait()
 	sleepContext(ctx, cancelGracePeriod)
 	r.checker.checkRunCounts()
+	if ctx.Err() != nil {
+		return ctx.Err() // the calm windows were cut short
+	}
+	r.checkUsage(ctx, first, last)
 	return nil
 }
 
@@ -178,7 +193,7 @@
 // checkRecovery checks that, after the last fault, all daemons serve a new configuration and
 // two more steps complete.
 func (r *run) checkRecovery(ctx context.Context) {
-	version := r.publishConfig()
+	version := r.publishConfig(organisations[0])
 	steps := r.checker.completeSteps()
 	deadline := time.Now().Add(recoveryTimeout)
 	var checks sync.WaitGroup
@@ -198,6 +213,7 @@
 // checkServes checks that a daemon serves a configuration version before the deadline.
 func (r *run) checkServes(ctx context.Context, d *daemon, i, version int, deadline time.Time) {
 	c := newClient(r.checker, func() (string, string) { return d.callerLink.Address(), d.processName() })
+	c.organisation = organisations[0]
 	for n := 0; ; n++ {
 		id := fmt.Sprintf("back-%d-%d", i, n)
 		got, _ := c.call(ctx, "POST", versionPath(version)+"x", id, id)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -64,12 +64,15 @@
 }
 
 // forward sends a request with the given ID to the replica.
-func (b *brokenDaemon) forward(id string) {
+func (b *brokenDaemon) forward(id string, header ...string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+b.replica.Address()+"/x", nil)
 	if err != nil {
 		panic(err)
 	}
 	req.Header.Set("Request-Id", id)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
@@ -119,11 +122,11 @@
 	}{
 		{"returns the response to another request", "response", func(_ *brokenDaemon, w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write([]byte("answer to another"))
-		}, func(ctx context.Context, c *client) { c.plainCall(ctx, "p") }},
+		}, func(ctx context.Context, c *client) { c.plainCall(ctx, "p", "/records/x") }},
 		{"reports a request as not run that ran", "was reported as not run", func(b *brokenDaemon, w http.ResponseWriter, r *http.Request) {
 			b.forward(r.Header.Get("Request-Id"))
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, func(ctx context.Context, c *client) { c.plainCall(ctx, "p") }},
+		}, func(ctx context.Context, c *client) { c.plainCall(ctx, "p", "/records/x") }},
 		{"repeats non-idempotent requests", "ran 2 times", func(b *brokenDaemon, w http.ResponseWriter, r *http.Request) {
 			b.forward(r.Header.Get("Request-Id"))
 			b.forward(r.Header.Get("Request-Id"))
@@ -165,21 +168,48 @@
 			time.AfterFunc(cancelGracePeriod+700*time.Millisecond, func() { b.forward("late") })
 			w.WriteHeader(http.StatusOK)
 		}, func(ctx context.Context, c *client) {
+			c.expectItems("", []string{"late"})
 			c.endBatch(ctx, "b")
 			c.recordEnded([]string{"late"})
 			sleepContext(context.Background(), cancelGracePeriod+100*time.Millisecond)
 			c.checkRunCounts()
 			sleepContext(context.Background(), 1200*time.Millisecond)
 		}},
+		{"runs requests for another organisation", `for organisation "south", want "north"`, func(b *brokenDaemon, _ http.ResponseWriter, r *http.Request) {
+			b.forward(r.Header.Get("Request-Id"), headerOrganisation, "south")
+		}, func(ctx context.Context, c *client) { useKey(ctx, c, false) }},
+		{"adds an organisation to the caller's", "for organisation", func(b *brokenDaemon, _ http.ResponseWriter, r *http.Request) {
+			b.forward(r.Header.Get("Request-Id"), headerOrganisation, r.Header.Get(headerOrganisation))
+		}, func(ctx context.Context, c *client) { useKey(ctx, c, false) }},
+		{"sends the key to a replica", "with an API key", func(b *brokenDaemon, _ http.ResponseWriter, r *http.Request) {
+			b.forward(r.Header.Get("Request-Id"), headerOrganisation, "north", headerKey, r.Header.Get(headerKey))
+		}, func(ctx context.Context, c *client) { useKey(ctx, c, false) }},
+		{"runs requests without a key", "without an API key", func(b *brokenDaemon, _ http.ResponseWriter, r *http.Request) {
+			b.forward(r.Header.Get("Request-Id"))
+		}, func(ctx context.Context, c *client) {
+			c.sent["none"] = sentRequest{needsKey: true}
+			c.plainCall(ctx, "none", "/records/x")
+		}},
+		{"runs requests with a withdrawn key", "after its key was withdrawn", func(b *brokenDaemon, w http.ResponseWriter, r *http.Request) {
+			b.forward(r.Header.Get("Request-Id"), headerOrganisation, "north")
+			w.WriteHeader(http.StatusBadGateway)
+		}, func(ctx context.Context, c *client) { useKey(ctx, c, true) }},
+		{"accepts a withdrawn key", "status 202, sent", func(_ *brokenDaemon, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusAccepted)
+		}, func(ctx context.Context, c *client) { useKey(ctx, c, true) }},
+		{"does not know a valid key", "status 401, sent", func(_ *brokenDaemon, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusUnauthorized)
+		}, func(ctx context.Context, c *client) { useKey(ctx, c, false) }},
 	}
 	for _, row := range table {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
-			replica := fakereplica.Start(fakereplica.Config{ID: "r"})
+			var replica *fakereplica.Replica
+			ch := newChecker(func() []*fakereplica.Replica { return []*fakereplica.Replica{replica} })
+			replica = fakereplica.Start(fakereplica.Config{ID: "r", OnRun: ch.checkRun})
 			defer replica.Close()
 			server := httptest.NewServer(&brokenDaemon{replica: replica, handle: row.handle})
 			defer server.Close()
-			ch := newChecker(func() []*fakereplica.Replica { return []*fakereplica.Replica{replica} })
 			c := newClient(ch, func() (string, string) { return strings.TrimPrefix(server.URL, "http://"), "d/1" })
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
@@ -192,6 +222,64 @@
 	}
 }
 
+// useKey sends a request with a key of the first organisation that was added, or withdrawn, long ago.
+func useKey(ctx context.Context, c *client, withdrawn bool) {
+	longAgo := time.Now().Add(-time.Minute)
+	key := &apiKey{organisation: "north", text: "k", addedAt: longAgo}
+	if withdrawn {
+		key.isWithdrawing, key.withdrawnAt = true, longAgo
+	}
+	c.keys = []*apiKey{key}
+	c.sent["k"] = sentRequest{key: key, organisation: key.organisation, at: time.Now(), needsKey: true}
+	c.plainCall(ctx, "k", "/records/x")
+}
+
+// TestBrokenReportsAreDetected checks that the platform's API reports each broken rule of usage
+// reports, refuses calls with an old token, and that the counts are compared with what ran.
+func TestBrokenReportsAreDetected(t *testing.T) {
+	first := []string{"a 2 7 1"}
+	for _, row := range []struct {
+		name, want string
+		calls      []string // each: holder, token, window, count
+		status     int      // of the last call
+	}{
+		{"exact repeat by another holder", "", append(first, "b 3 7 1"), 200},
+		{"two reports for a window", "window 7: report", append(first, "a 2 7 2"), 200},
+		{"another report for a window with an old token", "window 7: report", append(first, "b 1 7 2"), 409},
+		{"two holders with one token", "token 2 is used by", append(first, "b 2 8 1"), 200},
+		{"lower token", "", append(first, "b 1 8 1"), 409},
+		{"malformed report", "malformed call", []string{"a x 7 1"}, 200},
+		{"too few requests", "1 requests reported for windows without faults", append(first, "a 2 8 0"), 200},
+		{"too many requests", "4 requests reported, 3 ran", append(first, "a 2 8 3"), 200},
+	} {
+		ch := newChecker(nil)
+		c := newCloud(ch)
+		var status int
+		for _, call := range row.calls {
+			f := strings.Fields(call)
+			r := httptest.NewRequest(http.MethodPost, "/usage", strings.NewReader(fmt.Sprintf(`{"WindowId":%s,"Counts":{"north":%s}}`, f[2], f[3])))
+			r.Header.Set("Lease-Holder", f[0])
+			r.Header.Set("Fence-Token", f[1])
+			w := httptest.NewRecorder()
+			c.ServeHTTP(w, r)
+			status = w.Code
+		}
+		if strings.HasPrefix(row.name, "too") {
+			ch.runsByOrganisation["north"] = 3
+			at := windowStart(8).Add(usageWindow / 2)
+			ch.completed = []completedRequest{{"north", at, at}, {"north", at, at}}
+			counts, missing := c.counted(7, 8)
+			if missing != 0 {
+				t.Errorf("%s: %d windows are missing", row.name, missing)
+			}
+			ch.checkCounts(counts, counts, windowStart(7), windowStart(9))
+		}
+		if got := ch.brokenPromise(); status != row.status || (got == "") != (row.want == "") || !strings.Contains(got, row.want) {
+			t.Errorf("%s: status %d, broken promise %q, want %d, %q", row.name, status, got, row.status, row.want)
+		}
+	}
+}
+
 func useTrainer(ctx context.Context, c *client) { c.runTrainer(ctx, "steps", func(int64) {}) }
 
 // buildDaemon builds the daemon's program and returns its path.
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -53,6 +53,10 @@
 	store   *fakeplatform.Server
 	closers []func()
 	cluster *cluster.Cluster
+	checker *checker
+
+	cloud     *cloud
+	cloudLink *silentproxy.Proxy
 
 	mu            sync.Mutex
 	daemons       []*daemon
@@ -66,6 +70,13 @@
 		return nil, err
 	}
 	tb := &testbed{options: o, store: fakeplatform.New(fakeplatform.Config{}), cluster: cl}
+	tb.checker = newChecker(tb.allReplicas)
+	tb.cloud = newCloud(tb.checker)
+	cloudServer := httptest.NewServer(tb.cloud)
+	tb.closers = append(tb.closers, func() { cloudServer.CloseClientConnections(); cloudServer.Close() })
+	if tb.cloudLink, err = silentproxy.New(cloudServer.Listener.Addr().String()); err != nil {
+		return tb, err
+	}
 	storeServer := httptest.NewServer(tb.store.Handler())
 	tb.closers = append(tb.closers, func() { storeServer.CloseClientConnections(); storeServer.Close() })
 	for i := range o.Replicas {
@@ -78,7 +89,7 @@
 			}
 		}
 	}
-	tb.publishConfig()
+	tb.publishConfig("")
 	storeAddress := strings.TrimPrefix(storeServer.URL, "http://")
 	for i := range o.Daemons {
 		if err := tb.addDaemon(i, storeAddress); err != nil {
@@ -89,6 +100,7 @@
 }
 
 func (tb *testbed) addReplica(config fakereplica.Config) error {
+	config.OnRun = tb.checker.checkRun
 	rep := &replica{Replica: fakereplica.Start(config)}
 	link, err := silentproxy.New(rep.Address())
 	if err != nil {
@@ -122,7 +134,9 @@
 	if i > 0 {
 		seeds = tb.daemons[0].peerLink.Address()
 	}
-	d.EdgeDaemon, err = tb.cluster.StartEdgeDaemon(d.name, d.storeLink.Address(), fmt.Sprint("domain-", i%3), seeds)
+	access := fmt.Sprintf("[organisations]\nwithdrawal = %v\n[duties]\nnames = usage_report\naddress = %s\nusage_window = %v\nusage_due = %v\n",
+		withdrawalTime, tb.cloudLink.Address(), usageWindow, usageDue)
+	d.EdgeDaemon, err = tb.cluster.StartEdgeDaemon(d.name, d.storeLink.Address(), fmt.Sprint("domain-", i%3), seeds, access)
 	if err != nil {
 		return err
 	}
@@ -176,8 +190,9 @@
 	}
 }
 
-// publishConfig writes the next configuration version and returns it. Each version adds a route.
-func (tb *testbed) publishConfig() int {
+// publishConfig writes the next configuration version and returns it. Each version adds a route. If
+// an organisation is given, one of its keys is withdrawn and another one added.
+func (tb *testbed) publishConfig(organisation string) int {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.configVersion++
@@ -187,15 +202,21 @@
 	}
 	routes := []string{
 		route("/drafts/", "rollout", enginePool, ""), route("/records/", "idempotent", plainPool, ""),
-		route("/scores/", "idempotent", plainPool, ""), route("/bookings/", "non_idempotent", plainPool, ""),
+		route(publicPath, "idempotent", plainPool, `,"Public":true`), route("/bookings/", "non_idempotent", plainPool, ""),
 		route("/chat/", "streaming", enginePool, `,"Resumable":true`),
 	}
 	for v := range tb.configVersion {
 		routes = append(routes, route(versionPath(v+1), "idempotent", plainPool, ""))
 	}
+	tenants, written := tb.checker.changeKeys(organisation)
+	defer written()
+	tenantsText, err := json.Marshal(tenants)
+	if err != nil {
+		panic(err) // impossible: the value holds only strings
+	}
 	tb.store.PutSpec("config/main", json.RawMessage(fmt.Sprintf(
-		`{"Version":%d,"Routes":[%s],"Services":[{"Name":%q,"Engine":{"Slots":8,"Models":[{"Name":%q}]}},{"Name":%q}],"Limits":{}}`,
-		tb.configVersion, strings.Join(routes, ","), enginePool, engineModel, plainPool)))
+		`{"Version":%d,"Routes":[%s],"Services":[{"Name":%q,"Engine":{"Slots":8,"Models":[{"Name":%q}]}},{"Name":%q}],"Tenants":%s,"Limits":{}}`,
+		tb.configVersion, strings.Join(routes, ","), enginePool, engineModel, plainPool, tenantsText)))
 	return tb.configVersion
 }
 
@@ -231,14 +252,14 @@
 	for _, f := range tb.closers {
 		f()
 	}
-	for _, p := range tb.daemonLinks() {
+	for _, p := range tb.allLinks() {
 		p.Close()
 	}
 }
 
-// daemonLinks returns the proxies on the links of all daemons.
-func (tb *testbed) daemonLinks() []*silentproxy.Proxy {
-	var all []*silentproxy.Proxy
+// allLinks returns the proxies on the links of all daemons.
+func (tb *testbed) allLinks() []*silentproxy.Proxy {
+	all := []*silentproxy.Proxy{tb.cloudLink}
 	for _, d := range tb.daemons {
 		all = append(all, d.callerLink, d.storeLink, d.peerLink)
 	}
@@ -249,7 +270,7 @@
 // had no file descriptors left.
 func (tb *testbed) failedConns() int {
 	total := 0
-	for _, p := range tb.daemonLinks() {
+	for _, p := range tb.allLinks() {
 		total += p.FailedConns()
 	}
 	return total
