What the review noticed: unreadable entries, chunks over the limit, requests whose connection breaks

Cause: a replica whose entry became unreadable was used on. A chunk of results with many characters that JSON escapes was larger than a value of the store may be, was refused for ever and held up all later results of its batch. Requests whose connection broke while they ran were missing from the usage.

Change: an unreadable entry names no replica; chunks are bounded by their encoded size, and a result that fits into none is listed as errored (event BatchResultTooLarge); a request counts as begun once its connection broke after it was sent.

Result: TestReplicaWithUnreadableEntryIsNotUsed, TestChunksFitIntoValuesWhateverTheirContent and TestRequestThatBeganToRunIsCountedOnce.

--- a/batch/log.go
+++ b/batch/log.go
@@ -19,7 +19,7 @@
 	groupFlushDelay = 15 * time.Millisecond
 	// partialGroupFlushDelay is how long a result of an incomplete group waits to share a write.
 	partialGroupFlushDelay = 1500 * time.Millisecond
-	// maxChunkBytes bounds the results in one object.
+	// maxChunkBytes bounds the encoded results in one object, with room for the store's own encoding.
 	maxChunkBytes   = objectapi.MaxValueBytes / 2
 	chunkRetryDelay = 150 * time.Millisecond
 )
@@ -287,23 +287,36 @@
 	return ctx, func() { stop(); cancel() }
 }
 
-// nextChunk encodes pending results for one object. They stay pending until the chunk is confirmed.
+// nextChunk encodes pending results for one object. They stay pending until the chunk is confirmed. A
+// result that fits into no object is listed as errored: the log would otherwise end before it.
 func (l *resultLog) nextChunk() (key string, chunk []Result, value []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var encoded [][]byte
 	size := 0
-	for _, r := range l.pending {
-		size += 2*len(r.Output) + 300
+	for i, r := range l.pending {
+		text := encodeResult(r)
+		if len(text) > maxChunkBytes {
+			l.log.Log(event.BatchResultTooLarge, event.F("batch", l.id), event.F("item", r.ID), event.F("bytes", len(text)))
+			r = Result{ID: r.ID, State: Errored}
+			l.pending[i], text = r, encodeResult(r)
+		}
+		size += len(text) + 1
 		if size > maxChunkBytes && len(chunk) > 0 {
 			break
 		}
-		chunk = append(chunk, r)
+		chunk, encoded = append(chunk, r), append(encoded, text)
 	}
-	value, err := json.Marshal(chunk)
+	value = append(append([]byte{'['}, bytes.Join(encoded, []byte{','})...), ']')
+	return chunkKey(l.id, l.chunks), chunk, value
+}
+
+func encodeResult(r Result) []byte {
+	text, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // can't happen: only strings and numbers
 	}
-	return chunkKey(l.id, l.chunks), chunk, value
+	return text
 }
 
 // adoptChunk reads and confirms the chunk that exists under a key that this daemon tried to
--- a/batch/log_test.go
+++ b/batch/log_test.go
@@ -175,3 +175,35 @@
 		t.Errorf("parts hold %d items, want 3000", total)
 	}
 }
+
+// Guards against a log that ends before a chunk which the store refuses for its size: characters that JSON
+// escapes take six bytes each, and one output may be too large by itself.
+func TestChunksFitIntoValuesWhateverTheirContent(t *testing.T) {
+	log := newResultLog("b", memstore.New(), nil)
+	for i := range 12 {
+		log.add(Result{ID: fmt.Sprint("escaped-", i), State: Completed, Output: strings.Repeat("\x01", 40<<10)}, true)
+	}
+	log.add(Result{ID: "large", State: Completed, Output: strings.Repeat("\x01", 400<<10)}, true)
+	log.add(Result{ID: "last", State: Completed, Output: "x"}, true)
+	for log.pendingCount() > 0 {
+		before := log.pendingCount()
+		if _, _, value := log.nextChunk(); len(value) > maxChunkBytes+2 {
+			t.Fatalf("chunk of %d bytes", len(value))
+		}
+		log.writeChunk(t.Context(), func(string, []Result, int, time.Duration) {})
+		if log.pendingCount() >= before {
+			t.Fatal("no result was stored")
+		}
+	}
+	states := map[string]State{}
+	for after := 0; after < log.confirmedCount(); {
+		results, _ := log.page(after)
+		for _, r := range results {
+			states[r.ID] = r.State
+		}
+		after += len(results)
+	}
+	if len(states) != 14 || states["large"] != Errored || states["escaped-3"] != Completed || states["last"] != Completed {
+		t.Errorf("states %v", states)
+	}
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -168,12 +168,13 @@
 
 func (d *Daemon) replicaChanged(c mirror.Change) {
 	replica, err := platform.DecodeReplica(c.Key, c.Value)
+	id := c.Key[len(platform.ReplicaKind)+1:]
 	switch {
 	case c.Deleted:
-		id := c.Key[len(platform.ReplicaKind)+1:]
 		d.Tracker.Remove(id)
 		d.log.Log(event.EdgeReplicaRemoved, event.F("replica", id), event.F("from", c.From))
 	case err != nil:
+		d.Tracker.Remove(id) // what the entry said before does not hold any more
 		d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
 	default:
 		d.Tracker.Set(replica)
--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// Guards against requests to a replica whose entry was replaced by something unreadable: it names no replica
+// to use any more.
+func TestReplicaWithUnreadableEntryIsNotUsed(t *testing.T) {
+	t.Parallel()
+	s := newTestSystem(t, 1)
+	s.store.PutSpec("servers/desk-0", json.RawMessage(`{"Backend":7}`))
+	s.eventually("the replica is not used", func() bool { return len(s.daemons[0].Tracker.Replicas(plainPool)) == 2 })
+	for i := range 10 {
+		if got := s.daemons[0].call("POST", plainPath+"x", fmt.Sprint("r-", i), nil); got.status != http.StatusOK {
+			t.Errorf("status %d", got.status)
+		}
+	}
+	if n := s.plainReplicas[0].TotalRuns(); n > 0 {
+		t.Errorf("%d requests sent to the replica", n)
+	}
+}
+
 func TestLeavingReplicaGetsNoNewRequests(t *testing.T) {
 	t.Parallel()
 	s := newTestSystem(t, 3)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,6 +37,10 @@
 		}
 		p.logBrokenConnection(lease, err, time.Since(started))
 		p.recordBreak(lease, err)
+		var broken *upstream.BrokenError
+		if errors.As(err, &broken) {
+			p.countRun(started) // the replica received the request, so it most likely began to run it
+		}
 		p.countAttempt(fault.OutcomeOf(err) == fault.NotRun)
 		lease.Done(p.failureOutcome(ctx, lease.ID, err), nil, 0)
 		return false, err
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -93,6 +93,48 @@
 // Events implements upstream.Backend.
 func (*scriptedBackend) Events(*upstream.Response) upstream.EventReader { return nil }
 
+// Guards against usage that is counted twice for a request that ran on two replicas, or not at all if the
+// connection broke while it ran.
+func TestRequestThatBeganToRunIsCountedOnce(t *testing.T) {
+	answer := func() (*upstream.Response, error) {
+		return &upstream.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x")), Signed: true}, nil
+	}
+	failed := func() (*upstream.Response, error) {
+		return &upstream.Response{Status: http.StatusInternalServerError, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+	full := func() (*upstream.Response, error) {
+		return &upstream.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), NotRun: true}, nil
+	}
+	broken := func() (*upstream.Response, error) {
+		return nil, fault.Wrap(&upstream.BrokenError{Sends: 1, Cause: io.EOF}, fault.Unavailable, "broken", "")
+	}
+	for name, row := range map[string]struct {
+		calls scriptedBackend
+		want  int
+	}{
+		"answered":                     {scriptedBackend{answer}, 1},
+		"failed, then answered":        {scriptedBackend{failed, answer}, 1},
+		"broken, then answered":        {scriptedBackend{broken, answer}, 1},
+		"broken, then full":            {scriptedBackend{broken, full, full}, 1},
+		"full everywhere":              {scriptedBackend{full, full, full}, 0},
+		"full, then answered by other": {scriptedBackend{full, answer}, 1},
+	} {
+		counted := 0
+		g := New(&row.calls, testTracker(3), noGuard{}, nil, nil)
+		g.OnRun(func(organisation string, _ time.Time) {
+			if organisation == "north" {
+				counted++
+			}
+		})
+		route := testRoute("records")
+		route.Timeout = time.Second
+		_ = g.Forward(t.Context(), httptest.NewRecorder(), route, Request{ID: name, Target: "/x", Organisation: "north"}) // some fail
+		if counted != row.want {
+			t.Errorf("%s: counted %d times, want %d", name, counted, row.want)
+		}
+	}
+}
+
 // Guards against a false not-run error (found with soak seed 306): a replica runs the request
 // and does not sign its response, and the next replica is full.
 func TestErrorIsNotRunOnlyIfNoReplicaRanTheRequest(t *testing.T) {
