duty, connlimit: shorter comparisons, wrapped comment, usual terms

Cause: the read-through found two hand-written orderings, an overlong comment line and an unusual term in two comments. Change: orderings use cmp.Compare; the comments are reworded.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -41,7 +41,7 @@
 	charged int64 // sum of the charges of all connections
 	refused map[Reason]int64
 
-	// candidates and loads are reused by choose: at a crowd's rate of connections, new ones would be
+	// candidates and loads are reused by choose: when thousands of clients connect at once, new ones would be
 	// most of the garbage of the process.
 	candidates []*Conn
 	loads      []Load
--- a/connlimit/decide.go
+++ b/connlimit/decide.go
@@ -112,7 +112,7 @@
 )
 
 // addressPercent is the share of all connections of clients that one address may have. The shares
-// are separate so that a crowd at one address closes no connection of another.
+// are separate so that many clients at one address close no connection of another.
 var addressPercent = map[Address]int{Front: 50, Peer: 40, Ready: 5, Metric: 5}
 
 // HeadMemory returns the memory that unfinished heads may take together in a process with the given
--- a/duty/replicas.go
+++ b/duty/replicas.go
@@ -1,8 +1,9 @@
 package duty
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
@@ -29,8 +30,9 @@
 // wantedSpotReplicas returns how many spot replicas to have in each failure domain, for a service to which
 // the trainers submit the given number of items with one step each. Load pattern: steps of several trainers
 // compete for too few slots, for example after the replicas of a failure domain were lost, so that items
-// wait for seconds and a trainer that fell behind never catches up. Completions can be resumed, so replicas that may be reclaimed serve them at a fraction of the price.
-// They are spread evenly, since all of a domain are reclaimed at once, the cheaper domains first.
+// wait for seconds and a trainer that fell behind never catches up. Completions can be resumed, so
+// replicas that may be reclaimed serve them at a fraction of the price. They are spread evenly, since all
+// of a domain are reclaimed at once, the cheaper domains first.
 func wantedSpotReplicas(items, slots int, scale catalog.Autoscale, domains []domainState) map[string]int {
 	wanted := map[string]int{}
 	missing := 0
@@ -42,8 +44,8 @@
 		wanted[d.name] = 0
 	}
 	byPrice := append([]domainState(nil), domains...)
-	sort.Slice(byPrice, func(a, b int) bool {
-		return byPrice[a].price < byPrice[b].price || byPrice[a].price == byPrice[b].price && byPrice[a].name < byPrice[b].name
+	slices.SortFunc(byPrice, func(a, b domainState) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.name, b.name))
 	})
 	for missing > 0 {
 		best := -1
--- a/duty/scale.go
+++ b/duty/scale.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -168,12 +169,7 @@
 	for _, d := range byName {
 		found = append(found, *d)
 	}
-	slices.SortFunc(found, func(a, b domainState) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(found, func(a, b domainState) int { return cmp.Compare(a.name, b.name) })
 	return found
 }
 
