A panic in the work of one item or call no longer ends the process

Only handlers of peers' calls recovered panics. Goroutines of batch items, scoring, hand-overs, notices, orders and probes did not, so a defect that one item meets would end each daemon to which the item is handed over. event.Err panicked for a nil error. Change: event.Guard logs such a panic (event 113) and goes on; the item counts one failure, its place at the replica is released, and a batch whose takeover panicked no longer counts as run. Work that keeps a daemon up to date (mirror, lists of members) is not guarded on purpose. Result: without the change TestPanicOfOneItemFailsOnlyThatItem ends the test process and TestPanicOfTakeoverLeavesBatchToOthers fails.

--- a/batch/drain.go
+++ b/batch/drain.go
@@ -36,7 +36,7 @@
 	m.mu.Unlock()
 	var handOvers sync.WaitGroup
 	for _, b := range running {
-		handOvers.Go(func() { m.handOver(ctx, b) })
+		handOvers.Go(func() { m.log.Guard("hand-over of batch "+m.jobOf(b).ID, func() { m.handOver(ctx, b) }) })
 	}
 	handOvers.Wait()
 }
--- a/batch/item.go
+++ b/batch/item.go
@@ -51,6 +51,7 @@
 // generate streams an item's completion from a replica and scores it when it is complete.
 // An item that is not complete goes back into the queue.
 func (r *run) generate(t *task, lease *placement.Lease) {
+	defer lease.Done(placement.Inconclusive, nil, 0) // counts only if stream panics
 	err := r.stream(t, lease)
 	switch {
 	case err == nil:
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -206,7 +206,7 @@
 	if stored {
 		return nil
 	}
-	go m.notifyEnded(id)
+	go m.log.Guard("notice of the end of batch "+id, func() { m.notifyEnded(id) })
 	for attempt := 0; ; attempt++ {
 		_, err := m.store.Create(ctx, endKey(id), endValue)
 		if err == nil || fault.Is(err, fault.Conflict) {
--- a/batch/run.go
+++ b/batch/run.go
@@ -76,20 +76,33 @@
 	wg.Go(r.moveStragglers)
 	wg.Go(r.saveCompletions)
 	for _, t := range r.takeComplete() {
-		wg.Go(func() { r.score(t) })
+		wg.Go(func() { r.guardTask(t, func() { r.score(t) }) })
 	}
 	for r.ctx.Err() == nil {
 		r.expireTasks()
 		changed := r.tracker.Changed()
 		t, lease := r.next()
 		if t != nil {
-			wg.Go(func() { r.generate(t, lease) })
+			wg.Go(func() { r.guardTask(t, func() { r.generate(t, lease) }) })
 			continue
 		}
 		r.awaitWork(changed)
 	}
 }
 
+// guardTask runs the work of a task. If it panics, the item failed once, as if its replica had
+// reported that: an item that panics each time would end one daemon after the other.
+func (r *run) guardTask(t *task, work func()) {
+	if !r.log.Guard("item "+t.item.ID+" of batch "+r.job.ID, work) || r.ctx.Err() != nil {
+		return
+	}
+	if r.recordItemFailure(t.item.ID) >= r.maxAttempts(t.item) {
+		r.finish(t.item, Result{ID: t.item.ID, State: Errored})
+		return
+	}
+	r.requeue(t)
+}
+
 // takeComplete removes the tasks from the queue whose completion was resumed as complete.
 func (r *run) takeComplete() []*task {
 	r.mu.Lock()
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -59,7 +59,9 @@
 	for _, b := range m.unservedBatches() {
 		order := m.candidates(m.jobOf(b), peers)
 		if rank := slices.Index(order, m.self); rank >= 0 && rank <= maxBackups {
-			wg.Go(func() { m.superviseBatch(ctx, b, order[:rank], peers) })
+			wg.Go(func() {
+				m.log.Guard("supervision of batch "+m.jobOf(b).ID, func() { m.superviseBatch(ctx, b, order[:rank], peers) })
+			})
 		}
 	}
 	wg.Wait()
@@ -160,7 +162,11 @@
 func (m *Manager) anyPeerRuns(ctx context.Context, daemons []string, peers map[string]string, id string) bool {
 	replies := make(chan bool, len(daemons))
 	for _, daemon := range daemons {
-		go func() { replies <- m.peerRuns(ctx, peers[daemon], id) }()
+		go func() {
+			runs := false
+			m.log.Guard("question to daemon "+daemon, func() { runs = m.peerRuns(ctx, peers[daemon], id) })
+			replies <- runs
+		}()
 	}
 	for range daemons {
 		if <-replies {
@@ -196,6 +202,14 @@
 	b.starting = true
 	job, log := b.job, b.log
 	m.mu.Unlock()
+	loading := true
+	defer func() { // counts only if loading panics: the batch would otherwise count as run here for ever
+		if loading {
+			m.mu.Lock()
+			b.starting = false
+			m.mu.Unlock()
+		}
+	}()
 	items, err := m.items(ctx, job)
 	if err == nil {
 		var savedCompletions map[string]*Completion
@@ -209,7 +223,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b.starting = false
+	b.starting, loading = false, false
 	if ended {
 		m.markEnded(job.ID)
 	}
@@ -223,7 +237,7 @@
 	}
 	b.run = m.start(job, log, completions)
 	b.unservedRounds = 0
-	go m.notifyTakenOver(job)
+	go m.log.Guard("notice of batch "+job.ID, func() { m.notifyTakenOver(job) })
 	m.log.Log(event.BatchTakenOver, event.F("batch", job.ID), event.F("owner", job.Owner),
 		event.F("listed", log.confirmedCount()), event.F("texts", len(completions)))
 }
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -17,5 +17,8 @@
 	DaemonPanic             = define(111, logrus.ErrorLevel, "request handler panicked", "This is a defect of this program; the request ended with kind internal. Report the stack.")
 )
 
+// WorkPanicked is written by Guard.
+var WorkPanicked = define(113, logrus.ErrorLevel, "work panicked", "One piece of work, such as a batch item or a call to another daemon, failed by a defect of this program; the daemon and its other work continue. Report the stack.")
+
 // LogDropped is written by AsyncWriter.
 var LogDropped = define(112, logrus.WarnLevel, "log entries dropped", "The reader of the log is slower than the daemon writes; dropped is the number of lost entries.")
--- a/event/event.go
+++ b/event/event.go
@@ -47,8 +47,14 @@
 // F returns a field.
 func F(key string, value any) Field { return Field{Key: key, Value: value} }
 
-// Err returns the field that carries an error.
-func Err(err error) Field { return Field{Key: "error", Value: err.Error()} }
+// Err returns the field that carries an error. It is empty for no error: an entry without a cause is
+// better than a process that ends while it logs.
+func Err(err error) Field {
+	if err == nil {
+		return Field{Key: "error", Value: ""}
+	}
+	return Field{Key: "error", Value: err.Error()}
+}
 
 // Logger writes events. A nil Logger discards them. Entries of one event over its rate limit
 // are skipped; the next entry of that event contains their number in the field skipped.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,7 @@
 // response.
 func (p *pendingRequest) tryReplica(ctx context.Context, w http.ResponseWriter, lease *placement.Lease) (served bool, err error) {
 	started := time.Now()
+	defer lease.Done(placement.Inconclusive, nil, 0) // counts only if the attempt panics
 	ctx, responseStarted, stop := p.withAttemptTimeout(ctx)
 	defer stop()
 	resp, err := p.backend.Send(ctx, upstream.Call{
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -209,7 +209,8 @@
 	t.notifyWaiters()
 }
 
-// Lease counts one request at a replica until Done, which must be called once.
+// Lease counts one request at a replica until Done. Only the first call of Done counts, so that one can
+// be deferred for work that may panic.
 type Lease struct {
 	catalog.Replica
 
@@ -217,6 +218,7 @@
 
 	tracker    *Tracker
 	acquiredAt time.Time
+	done       bool // guarded by tracker.mu
 }
 
 // Outcome is what the end of a request implies for the health of its replica.
@@ -238,9 +240,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.replicas[l.ID]
-	if r == nil {
+	if r == nil || l.done {
 		return
 	}
+	l.done = true
 	r.inFlight = max(r.inFlight-1, 0)
 	defer t.notifyWaiters()
 	if load != nil {
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -128,9 +128,11 @@
 		defer m.probes.Release(1)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		if !m.Accepts(ctx, replica) {
-			m.recordCrash(fingerprint, replica)
-		}
+		m.Log.Guard("probe of replica "+replica.ID, func() {
+			if !m.Accepts(ctx, replica) {
+				m.recordCrash(fingerprint, replica)
+			}
+		})
 	}()
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
--- a/usage/manager.go
+++ b/usage/manager.go
@@ -213,13 +213,16 @@
 	tables := make(chan *usagepb.Table, len(candidates))
 	for id, address := range candidates {
 		go func() {
-			resp, err := m.read(ctx, address, &usagepb.ReadRequest{Window: window})
-			if err != nil {
-				m.Log.Log(event.UsageReadFailed, event.F("member", id), event.F("window", window), event.Err(err))
-				tables <- nil
-				return
-			}
-			tables <- resp.Table
+			var table *usagepb.Table // nil if the daemon did not respond
+			m.Log.Guard("usage of daemon "+id, func() {
+				resp, err := m.read(ctx, address, &usagepb.ReadRequest{Window: window})
+				if err != nil {
+					m.Log.Log(event.UsageReadFailed, event.F("member", id), event.F("window", window), event.Err(err))
+					return
+				}
+				table = resp.Table
+			})
+			tables <- table
 		}()
 	}
 	sum, responded := windowCounts{}, 0
--- a/waves/orders.go
+++ b/waves/orders.go
@@ -29,7 +29,11 @@
 			}
 			if time.Since(p.orderedAt) > minLoadTime && time.Since(p.polledAt) > pollInterval && !p.polling {
 				p.polledAt, p.polling = time.Now(), true
-				m.calls.Go(func() { m.pollOrder(ctx, w, p) })
+				m.calls.Go(func() {
+					if m.Log.Guard("poll of replica "+w.replica.ID, func() { m.pollOrder(ctx, w, p) }) {
+						m.finishOrder(w.replica.ID)
+					}
+				})
 			}
 		}
 	}
@@ -41,7 +45,9 @@
 		p := &orderProgress{model: w.model, version: w.version, orderedAt: time.Now()}
 		m.orders[w.replica.ID] = p
 		m.calls.Go(func() {
-			if !m.sendOrder(ctx, w, p) {
+			sent := false
+			m.Log.Guard("order to replica "+w.replica.ID, func() { sent = m.sendOrder(ctx, w, p) })
+			if !sent {
 				m.removeOrder(w.replica.ID)
 			}
 		})
