Callers of a split route are served while one of its services has no replica

Each attempt of a caller's request was bound to a service of the split by chance; if that had no replica left, the request was refused although replicas of the other service were idle. Change: an attempt goes to another service of the split that has a healthy replica on which the request was not tried, or any replica if none is healthy. A service with share 0 still gets nothing. Items use the same function.

--- a/batch/split.go
+++ b/batch/split.go
@@ -19,20 +19,10 @@
 }
 
 // usableService returns the service to which a request of an item goes: the one that the item belongs
-// to, or, while that has no usable replica, the first other service of the split that has one. Load
-// pattern: the only replica of a small service, such as a trial of a release, is lost while the
-// replicas of the other service are idle.
+// to, or another one of the split while that has no usable replica.
 func usableService(route *catalog.Route, item string, isUsable func(service string) bool) string {
-	chosen := chooseService(route, item)
-	if len(route.Split) <= 1 || isUsable(chosen) {
-		return chosen
-	}
-	for _, share := range route.Split {
-		if share.Service != chosen && share.Weight > 0 && isUsable(share.Service) {
-			return share.Service
-		}
-	}
-	return chosen
+	service, _ := gateway.UsableService(route.Split, chooseService(route, item), isUsable)
+	return service
 }
 
 // usability returns a function that reports whether a service has a replica that may run the request
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,30 +194,12 @@
 
 // placementRequest returns the requirements for the replica of the next attempt.
 func (p *pendingRequest) placementRequest() placement.Request {
-	return placement.Request{
-		Service: ChooseService(p.route.Split, rand.Float64()), Exclude: p.tried,
-		Model: p.request.Model, AffinityKey: p.request.AffinityKey,
-	}
-}
-
-// ChooseService returns the service whose share of the split contains point, which is in
-// [0, 1).
-func ChooseService(split []catalog.Share, point float64) string {
-	var total float64
-	for _, s := range split {
-		total += s.Weight
-	}
-	point *= total
-	for _, s := range split {
-		if point < s.Weight {
-			return s.Service
-		}
-		point -= s.Weight
-	}
-	if len(split) > 0 {
-		return split[0].Service
-	}
-	return ""
+	request := placement.Request{Exclude: p.tried, Model: p.request.Model, AffinityKey: p.request.AffinityKey}
+	request.Service = chooseForAttempt(p.route.Split, rand.Float64(), func(service string) placement.Choice {
+		request.Service = service
+		return p.tracker.Explain(request)
+	})
+	return request
 }
 
 // retryDelay is the retry delay for a caller whose request found all replicas full: about
