Scoring calls wait per service, so that one service holds up no other

All scoring calls of a daemon shared 24 places. A call kept its place while it waited for a free slot (0.1 s) or for a server that hangs (its route's timeout), so calls to a service whose servers are gone or hang held up the complete groups of all other trainers. Change: 24 places for each service; a call whose service changes while it waits asks for a place of the other one.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -48,7 +48,7 @@
 	reportUnresponsive func(daemon string)
 	measures           *measure.Set
 	log                *event.Logger
-	scoreSlots         chan struct{} // limits concurrent scoring requests
+	scoreSlots         *serviceSlots // limits concurrent scoring requests
 
 	ctx           context.Context // ends when Run returns
 	stop          context.CancelFunc
@@ -82,7 +82,7 @@
 	m := &Manager{
 		self: deps.Self, store: deps.Store, mirror: deps.Mirror, members: deps.MemberAddresses, conns: deps.Conns, tracker: deps.Tracker,
 		backend: deps.Backend, configuration: deps.Configuration, reportUnresponsive: deps.ReportUnresponsive, measures: deps.Measures, log: deps.Log,
-		cores: deps.MemberCores, scoreSlots: make(chan struct{}, maxConcurrentScores),
+		cores: deps.MemberCores, scoreSlots: newServiceSlots(),
 		ctx: ctx, stop: stop, batches: map[string]*batchState{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
 	}
 	if m.cores == nil {
--- a/batch/score.go
+++ b/batch/score.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/clock"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/placement"
@@ -15,10 +17,10 @@
 )
 
 const (
-	// maxConcurrentScores bounds this daemon's concurrent scoring requests, and callerReserve is
-	// the share of a server's slots that scoring leaves to callers. Load pattern: groups end in
-	// bursts of many short requests to the servers that callers wait for. Requests that do not
-	// fit wait here, never in a server's queue.
+	// maxConcurrentScores bounds this daemon's concurrent scoring requests to one service, and
+	// callerReserve is the share of a server's slots that scoring leaves to callers. Load pattern:
+	// groups end in bursts of many short requests to the servers that callers wait for. Requests
+	// that do not fit wait here, never in a server's queue.
 	maxConcurrentScores = 24
 	callerReserve       = 0.34
 	// defaultScoreTimeout applies to routes without a timeout.
@@ -72,22 +74,21 @@
 // scoreOnce makes one attempt. It returns the score, or whether a server responded that the
 // request failed. tried holds the servers that did not respond.
 func (r *run) scoreOnce(s *Scorer, tried map[string]bool) (score, server string, failed bool) {
-	select {
-	case r.scoreSlots <- struct{}{}:
-		defer func() { <-r.scoreSlots }()
-	case <-r.ctx.Done():
+	route, service := r.scoringService(s)
+	if route == nil {
 		return "", "", false
 	}
-	cfg := r.configuration()
-	if cfg == nil {
+	slots := r.scoreSlots.of(service)
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-r.ctx.Done():
 		return "", "", false
 	}
-	route, ok := cfg.Match(s.Host, s.Path)
-	if !ok {
-		return "", "", false
+	if _, now := r.scoringService(s); now != service {
+		return "", "", false // it changed during the wait; the next attempt waits for the other one
 	}
-	request := placement.Request{Exclude: tried, RequireFreeSlot: true, ReservedFraction: callerReserve}
-	request.Service = usableService(route, s.ID, r.usability(request))
+	request := placement.Request{Service: service, Exclude: tried, RequireFreeSlot: true, ReservedFraction: callerReserve}
 	lease := r.tracker.Pick(request)
 	if lease == nil {
 		clear(tried)
@@ -126,6 +127,41 @@
 	return "", lease.ID, resp.Status == http.StatusInternalServerError
 }
 
+// scoringService returns the route of a scoring request and the service to which it goes now, nil if
+// there is no route.
+func (r *run) scoringService(s *Scorer) (*catalog.Route, string) {
+	cfg := r.configuration()
+	if cfg == nil {
+		return nil, ""
+	}
+	route, ok := cfg.Match(s.Host, s.Path)
+	if !ok {
+		return nil, ""
+	}
+	return route, usableService(route, s.ID, r.usability(placement.Request{RequireFreeSlot: true}))
+}
+
+// serviceSlots limits concurrent requests to each service. Load pattern: the servers of one scoring
+// service are all gone or hang while those of another one are idle. With one limit for all services the
+// requests of the first would take all of it again and again, and hold up complete groups of other
+// trainers.
+type serviceSlots struct {
+	mu    sync.Mutex
+	slots map[string]chan struct{} // by service
+}
+
+func newServiceSlots() *serviceSlots { return &serviceSlots{slots: map[string]chan struct{}{}} }
+
+// of returns the slots of a service: a request sends to take one and receives to release it.
+func (s *serviceSlots) of(service string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots[service] == nil {
+		s.slots[service] = make(chan struct{}, maxConcurrentScores)
+	}
+	return s.slots[service]
+}
+
 // discardComplete reads a body of at most limit bytes to its end. A body that breaks off or is longer
 // is an error: the response does not count then.
 func discardComplete(body io.Reader, limit int64) error {
