A batch whose owner and backups are lost together is taken over

Only the owner of a batch and its three backups look after it. If all four are lost at once, as with a failure domain, nobody else noticed: lost daemons leave the list only after somebody reports them, and only a submission to one of them did. Change: a daemon that reads results of the batch and gets no response has its candidates checked by package roster, as for a submission. Candidates that are not listed no longer count as asked.

--- a/batch/read.go
+++ b/batch/read.go
@@ -106,31 +106,49 @@
 		wait = 0 // no more results will come
 	}
 	peers := m.members()
+	candidates := m.candidates(job, peers)
 	asked := 0
-	for _, id := range m.candidates(job, peers) {
+	for _, id := range candidates {
 		if asked >= maxPeersAsked {
 			break
 		}
-		if id == m.self {
+		if id == m.self || peers[id] == "" {
 			continue // it does not run the batch, but one after it may have taken it over at a planned stop
 		}
 		asked++
-		if page, ok := m.requestPage(ctx, peers[id], job.ID, after, wait); ok {
+		page, ok, responded := m.requestPage(ctx, peers[id], job.ID, after, wait)
+		if ok {
 			return page, true
 		}
+		if !responded && !ended && ctx.Err() == nil {
+			m.suspectCandidates(candidates, peers)
+		}
 	}
 	return Page{}, false
 }
 
-func (m *Manager) requestPage(ctx context.Context, address, id string, after int, wait time.Duration) (Page, bool) {
-	if address == "" {
-		return Page{}, false
+// suspectCandidates has the daemons checked that should run a batch. Load pattern: its owner and all of
+// its backups are lost together, such as a failure domain. The other daemons do not supervise the batch;
+// they become its backups once the lost ones are no longer listed, and the reader of its results is the
+// first to notice. Those that respond stay listed.
+func (m *Manager) suspectCandidates(candidates []string, peers map[string]string) {
+	for i, id := range candidates {
+		if i > maxBackups {
+			return
+		}
+		if id != m.self && peers[id] != "" {
+			m.reportUnresponsive(id)
+		}
 	}
+}
+
+// requestPage asks one daemon for a page. responded is false if the daemon may be lost.
+func (m *Manager) requestPage(ctx context.Context, address, id string, after int, wait time.Duration) (page Page, ok, responded bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerReadTimeout)
 	defer cancel()
 	conn, err := m.conns.Conn(ctx, address)
 	if err != nil {
-		return Page{}, false
+		return Page{}, false, false
 	}
 	start := time.Now()
 	resp, err := batchpb.NewDRPCBatchClient(conn).Results(ctx, &batchpb.ResultsRequest{
@@ -142,10 +160,9 @@
 	}
 	m.measures.Observe(measure.PeerRead, time.Since(start), outcome)
 	if err != nil || !resp.Known {
-		return Page{}, false
+		return Page{}, false, err == nil
 	}
-	var page Page
-	return page, json.Unmarshal(resp.Json, &page) == nil
+	return page, json.Unmarshal(resp.Json, &page) == nil, true
 }
 
 // storedPage returns the results known to this daemon, or reads the store for new ones.
