gateway: buffered responses stay within a part of the process's memory

Each response is read up to 1 MiB before its first byte is sent, outside any budget: 96 callers who read slowly took 96 MiB. Change: these buffers share one sixteenth of the memory. While it is used up, a response is forwarded with less of it buffered: complete and unchanged, but a replica that breaks off is then seen by the caller instead of being tried again.

--- a/connlimit/decide.go
+++ b/connlimit/decide.go
@@ -94,12 +94,28 @@
 	connMemory        = 16 << 10
 	defaultHeadMemory = 16 << 20 // if no memory is set
 	minHeadMemory     = 1 << 20
+
+	defaultBufferMemory = 32 << 20 // if no memory is set
+	minBufferMemory     = 4 << 20
 	// Five eighths of the descriptors are for clients; the rest is for the connections to replicas,
 	// to other daemons and to the store.
 	descriptorPart, descriptorParts = 5, 8
 	minConnections                  = 16 // for each address
 )
 
+// bufferMemoryParts: one part of the process's memory is for each kind of buffer that is not a
+// client's: responses, texts of completions, answers of the store.
+const bufferMemoryParts = 16
+
+// BufferMemory returns the memory that one kind of buffer may take in a process with the given memory,
+// 0 for unknown.
+func BufferMemory(processMemory int64) int64 {
+	if processMemory <= 0 {
+		return defaultBufferMemory
+	}
+	return max(processMemory/bufferMemoryParts, minBufferMemory)
+}
+
 // Address is one of the addresses at which a daemon accepts connections.
 type Address string
 
--- a/edge/clients.go
+++ b/edge/clients.go
@@ -37,6 +37,11 @@
 	return limiter, connlimit.NewBudget(cmp.Or(int64(s.BodyMemoryMB)<<20, connlimit.BodyMemory(memory)))
 }
 
+// newBufferBudget returns a budget for one kind of buffer that is not a client's.
+func (d *Daemon) newBufferBudget() *connlimit.Budget {
+	return connlimit.NewBudget(connlimit.BufferMemory(int64(d.settings.MemoryMB) << 20))
+}
+
 // clientBounds returns the bounds of one connection that are in force.
 func (d *Daemon) clientBounds(address connlimit.Address) connlimit.Bounds {
 	bounds := connlimit.Bounds{
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -78,6 +78,7 @@
 		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, calls *duties, measures *measure.Set) *gateway.Gateway {
 			g := gateway.New(backend, tracker, guard, measures, d.log)
 			g.OnRun(calls.record)
+			g.LimitBuffers(d.newBufferBudget())
 			return g
 		},
 		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -112,14 +111,16 @@
 }
 
 // writeResponse sends the response to the caller. If the response is truncated before its
-// first byte was sent to the caller, the request may be retried.
+// first byte was sent to the caller, the request may be retried. While the memory for buffered
+// responses is used up, less of the response is buffered or nothing.
 func (p *pendingRequest) writeResponse(ctx context.Context, w http.ResponseWriter, lease *placement.Lease, resp *upstream.Response, started time.Time) (bool, error) {
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	holder := p.buffers.Holder(maxBufferedBody)
+	defer holder.Release()
+	head, complete, err := holder.ReadParts(resp.Body, resp.Length, maxBufferedBody)
 	if err != nil {
 		lease.Done(p.failureOutcome(ctx, lease.ID, err), resp.Load, 0)
 		return false, fault.Wrap(err, fault.Truncated, "the response of replica "+lease.ID+" was truncated", "try another replica")
 	}
-	complete := len(head) < maxBufferedBody
 	p.recordSurvival()
 	if complete && p.shouldRetry(resp) {
 		lease.Done(placement.Answered, resp.Load, 0)
@@ -130,18 +131,34 @@
 	p.servedBy, p.status = lease.ID, resp.Status
 	copyHeader(w.Header(), resp.Header)
 	if complete {
-		w.Header().Set("Content-Length", strconv.Itoa(len(head)))
+		w.Header().Set("Content-Length", strconv.Itoa(totalLength(head)))
 	}
 	w.WriteHeader(resp.Status)
 	if p.request.Method == http.MethodHead {
 		return true, nil
 	}
-	if _, err := io.Copy(w, io.MultiReader(bytes.NewReader(head), resp.Body)); err != nil {
+	for _, part := range head {
+		if _, err := w.Write(part); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if complete {
+		return true, nil
+	}
+	if _, err := io.Copy(w, resp.Body); err != nil {
 		panic(http.ErrAbortHandler) // closes the connection, so that the caller detects the truncation
 	}
 	return true, nil
 }
 
+func totalLength(parts [][]byte) int {
+	total := 0
+	for _, part := range parts {
+		total += len(part)
+	}
+	return total
+}
+
 // shouldRetry reports whether the response is a server error and another attempt is allowed.
 func (p *pendingRequest) shouldRetry(resp *upstream.Response) bool {
 	return resp.Status >= http.StatusInternalServerError && isRetryable(p.route) &&
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/measure"
@@ -58,6 +60,7 @@
 	guard    Guard
 	timeouts *timeoutTracker
 	budget   *retryBudget
+	buffers  *connlimit.Budget // of response bodies that are buffered before their first byte is sent
 	counts   counters
 	onRun    func(organisation string, begunAt time.Time)
 }
@@ -84,10 +87,14 @@
 func New(backend upstream.Backend, tracker *placement.Tracker, guard Guard, measures *measure.Set, log *event.Logger) *Gateway {
 	return &Gateway{
 		backend: backend, tracker: tracker, guard: guard, measures: measures, log: log, timeouts: newTimeoutTracker(), budget: newRetryBudget(),
-		onRun: func(string, time.Time) {},
+		buffers: connlimit.NewBudget(math.MaxInt64), onRun: func(string, time.Time) {},
 	}
 }
 
+// LimitBuffers sets the memory for buffered responses; without it there is no limit. It must be called
+// before Forward.
+func (g *Gateway) LimitBuffers(buffers *connlimit.Budget) { g.buffers = buffers }
+
 // OnRun calls f once for each request that a replica began to run, with the organisation that sent it
 // and the time at which it began. It must be called before Forward. f must not block.
 func (g *Gateway) OnRun(f func(organisation string, begunAt time.Time)) { g.onRun = f }
