batch: a completion has a bound, and all unfinished ones a part of the memory

Cause: bytes without end. A single event was bounded, a completion was not: a replica that sends well-formed events without end for an item filled the memory of the daemon that runs the batch. Change: a completion may take what the item's tokens may produce (256 bytes and one event a token), and at most one object of results. Beyond that it starts over on another replica and the attempt counts against the replica; only an item that may produce too much for the store fails, after its route's attempts. All unfinished completions of a daemon share one sixteenth of its memory; the largest start over first. The metric held_bytes shows these buffers.

--- a/batch/item.go
+++ b/batch/item.go
@@ -93,7 +93,13 @@
 		}
 	}()
 	start := time.Now()
-	s := &completionStream{task: t, lease: lease, cancel: cancel, completion: r.completion(t.item.ID), pace: streamPace{sentAt: start}}
+	s := &completionStream{
+		task: t, lease: lease, cancel: cancel, completion: r.completion(t.item.ID), pace: streamPace{sentAt: start},
+		text: r.textHolder(t.item), textLimit: textLimit(t.item),
+	}
+	if s.textSize = textMemory(s.completion.Events); s.textSize > s.textLimit {
+		s.reset() // handed over by a daemon that did not bound it
+	}
 	resumeAfter := len(s.completion.Events)
 	defer r.track(s)()
 	r.logPlaced(t, lease, resumeAfter)
@@ -126,7 +132,7 @@
 	switch {
 	case err == nil:
 		lease.Done(placement.Answered, nil, timePerEvent)
-	case errors.Is(err, errWeightsTooOld):
+	case errors.Is(err, errWeightsTooOld), errors.Is(err, errTextMemory):
 		lease.Done(placement.Inconclusive, nil, 0)
 	default:
 		return r.recordFailure(s, err, timePerEvent)
@@ -219,6 +225,13 @@
 			s.reset() // the route allows one version per completion: start over
 			return fault.New(fault.Stale, "the weights changed during a completion that must use a single version", "start the completion over")
 		}
+		if err := s.admitText(e.Data); err != nil {
+			s.reset()
+			if errors.Is(err, errTextTooLong) {
+				return r.textError(s.task.item)
+			}
+			return err
+		}
 		if s.add(e.Data, e.Version); e.ID == firstID {
 			r.measures.Observe(measure.ItemFirstEvent, time.Since(s.pace.sentAt), r.job.Model)
 		}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -1,13 +1,16 @@
 package batch
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/clock"
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/measure"
@@ -29,6 +32,7 @@
 	Tracker            *placement.Tracker
 	Backend            upstream.Backend
 	Configuration      func() *catalog.Configuration // nil until a configuration is known
+	Texts              *connlimit.Budget             // memory of unfinished completions; nil for no limit
 	ReportUnresponsive func(daemon string)           // called for a daemon that did not respond
 	Measures           *measure.Set
 	Log                *event.Logger
@@ -48,6 +52,7 @@
 	reportUnresponsive func(daemon string)
 	measures           *measure.Set
 	log                *event.Logger
+	texts              *connlimit.Budget
 	scoreSlots         *serviceSlots // limits concurrent scoring requests
 
 	ctx           context.Context // ends when Run returns
@@ -82,7 +87,7 @@
 	m := &Manager{
 		self: deps.Self, store: deps.Store, mirror: deps.Mirror, members: deps.MemberAddresses, conns: deps.Conns, tracker: deps.Tracker,
 		backend: deps.Backend, configuration: deps.Configuration, reportUnresponsive: deps.ReportUnresponsive, measures: deps.Measures, log: deps.Log,
-		cores: deps.MemberCores, scoreSlots: newServiceSlots(),
+		cores: deps.MemberCores, texts: cmp.Or(deps.Texts, connlimit.NewBudget(math.MaxInt64)), scoreSlots: newServiceSlots(),
 		ctx: ctx, stop: stop, batches: map[string]*batchState{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
 	}
 	if m.cores == nil {
--- a/batch/move.go
+++ b/batch/move.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 	"github.com/hornbeamtide/hornbeamtide/placement"
@@ -26,6 +27,10 @@
 	completion Completion // written only by the stream's own goroutine
 	pace       streamPace
 	moved      bool // canceled as a straggler
+
+	text      *connlimit.Holder // memory of the completion, kept while it is unfinished
+	textSize  int64             // see textMemory
+	textLimit int64             // of the item
 }
 
 // add appends an event.
@@ -51,6 +56,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.completion = Completion{}
+	s.textSize = 0
+	s.text.Release()
 }
 
 // snapshot returns a copy of the completion.
--- a/batch/run.go
+++ b/batch/run.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/measure"
 	"github.com/hornbeamtide/hornbeamtide/placement"
@@ -24,10 +25,11 @@
 	unfinished       map[string]*Completion // completions of items without a result
 	finished         map[string]*Completion // completions of items with a result, reused if a later batch has the item
 	queue            []*task
-	failures         map[string]int             // responses that reported a failure of an item, by item
-	remainingByGroup map[string]int             // items without a result, by group
-	queueGrew        chan struct{}              // signals that the queue grew
-	streams          map[*completionStream]bool // streams in flight
+	failures         map[string]int               // responses that reported a failure of an item, by item
+	remainingByGroup map[string]int               // items without a result, by group
+	queueGrew        chan struct{}                // signals that the queue grew
+	streams          map[*completionStream]bool   // streams in flight
+	textHolders      map[string]*connlimit.Holder // memory of the unfinished completions, by item
 
 	lastWaitLog time.Time // when logWaiting last logged
 }
@@ -47,7 +49,7 @@
 	r := &run{
 		Manager: m, job: job, results: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		unfinished: completions, finished: map[string]*Completion{}, failures: map[string]int{}, remainingByGroup: map[string]int{},
-		queueGrew: make(chan struct{}, 1), streams: map[*completionStream]bool{},
+		queueGrew: make(chan struct{}, 1), streams: map[*completionStream]bool{}, textHolders: map[string]*connlimit.Holder{},
 	}
 	if r.unfinished == nil {
 		r.unfinished = map[string]*Completion{}
@@ -70,6 +72,7 @@
 // dispatch starts tasks until the batch ends.
 func (r *run) dispatch() {
 	defer close(r.done)
+	defer r.releaseTexts()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { r.results.write(r.ctx, r.observeChunk) })
@@ -250,6 +253,10 @@
 		r.finished[item.ID] = completion
 	}
 	delete(r.unfinished, item.ID)
+	if holder := r.textHolders[item.ID]; holder != nil {
+		holder.Release()
+		delete(r.textHolders, item.ID)
+	}
 	r.remainingByGroup[item.Group]--
 	groupComplete := r.remainingByGroup[item.Group] <= 0
 	r.mu.Unlock()
--- a/connlimit/budget.go
+++ b/connlimit/budget.go
@@ -106,6 +106,9 @@
 	return true
 }
 
+// Held returns the number of bytes held.
+func (h *Holder) Held() int64 { return h.held }
+
 // Release returns all bytes to the budget. It may be called more than once.
 func (h *Holder) Release() {
 	b := h.budget
--- a/edge/clients.go
+++ b/edge/clients.go
@@ -37,9 +37,26 @@
 	return limiter, connlimit.NewBudget(cmp.Or(int64(s.BodyMemoryMB)<<20, connlimit.BodyMemory(memory)))
 }
 
-// newBufferBudget returns a budget for one kind of buffer that is not a client's.
-func (d *Daemon) newBufferBudget() *connlimit.Budget {
-	return connlimit.NewBudget(connlimit.BufferMemory(int64(d.settings.MemoryMB) << 20))
+// Kinds of buffers that are not a client's; each has a budget of its own.
+const (
+	responseBuffers = "responses" // bodies of responses before their first byte is sent
+	textBuffers     = "texts"     // unfinished completions of items
+)
+
+// newBufferBudget returns the budget of one kind of buffer.
+func (d *Daemon) newBufferBudget(kind string) *connlimit.Budget {
+	budget := connlimit.NewBudget(connlimit.BufferMemory(int64(d.settings.MemoryMB) << 20))
+	d.buffers[kind] = budget
+	return budget
+}
+
+// heldBytes returns the bytes held now by kind of buffer.
+func (d *Daemon) heldBytes() map[string]int64 {
+	held := map[string]int64{"bodies": d.bodies.Used()}
+	for kind, budget := range d.buffers {
+		held[kind] = budget.Used()
+	}
+	return held
 }
 
 // clientBounds returns the bounds of one connection that are in force.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -67,6 +67,7 @@
 	draining             atomic.Bool
 	clients              *connlimit.Limiter
 	bodies               *connlimit.Budget
+	buffers              map[string]*connlimit.Budget // by kind; written only while the modules are built
 	output               *event.AsyncWriter
 	aborted              chan struct{} // closed by Abort
 }
@@ -111,7 +112,7 @@
 }
 
 func build(settings Settings, output io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: settings, started: time.Now(), output: event.NewAsyncWriter(output), aborted: make(chan struct{})}
+	d := &Daemon{settings: settings, started: time.Now(), output: event.NewAsyncWriter(output), aborted: make(chan struct{}), buffers: map[string]*connlimit.Budget{}}
 	d.log = newLogger(settings, d.output)
 	d.clients, d.bodies = d.newClientLimits()
 	container := dig.New()
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -78,7 +78,7 @@
 		func(backend *ratelimit.Manager, tracker *placement.Tracker, guard *quarantine.Manager, calls *duties, measures *measure.Set) *gateway.Gateway {
 			g := gateway.New(backend, tracker, guard, measures, d.log)
 			g.OnRun(calls.record)
-			g.LimitBuffers(d.newBufferBudget())
+			g.LimitBuffers(d.newBufferBudget(responseBuffers))
 			return g
 		},
 		func(store *relay.Store, m *mirror.Mirror, conns *peer.Pool) *roster.Manager {
@@ -90,6 +90,7 @@
 			return batch.NewManager(batch.Dependencies{
 				Self: s.ID, Store: store, Mirror: m, MemberAddresses: d.members, MemberCores: d.memberCores, Conns: conns, Tracker: tracker, Backend: backend,
 				Configuration: d.configuration.Load, ReportUnresponsive: rosterManager.ReportUnresponsive, Measures: measures, Log: d.log,
+				Texts: d.newBufferBudget(textBuffers),
 			})
 		},
 		func(store *relay.Store, tracker *placement.Tracker, transport *platform.ReplicaTransport, batches *batch.Manager, measures *measure.Set) *waves.Manager {
--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,6 +23,7 @@
 	Unsigned           bool          // responses have no signature
 	WrongRequestID     bool          // responses carry the ID of another request
 	BreakAfter         int           // streams are cut within the next event after this many events; 0 for never
+	Endless            bool          // streams never end, with events of 4 KB
 	Truncate           bool          // plain responses are cut in the middle of the body
 	Delay              time.Duration // delay before each event and before a plain response
 	LoseOrderResponses bool          // orders take effect but get no response
@@ -278,7 +280,7 @@
 	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
 	w.WriteHeader(http.StatusOK)
 	rc := http.NewResponseController(w)
-	for n := after + 1; n <= r.Events; n++ {
+	for n := after + 1; n <= r.Events || f.Endless; n++ {
 		select {
 		case <-req.Context().Done():
 			return
@@ -293,7 +295,11 @@
 			version = current
 			_, _ = fmt.Fprintf(w, "weight-versions: %d\n", version)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+		data := EventData(id, n)
+		if f.Endless {
+			data = strings.Repeat(data, 4000/len(data))
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data)
 		_ = rc.Flush()
 	}
 }
