batch: hand-overs and forwarded batches fit into one message

Cause: by reading, not played: drpc refuses messages over 4 MiB. A hand-over with more text fails at each daemon, so that all of it is generated again; a larger batch can't be forwarded, and its owner is taken for lost and skipped. Change: of a large hand-over the longest texts and all failure counts go over; a batch over 3 MiB is run by the daemon that received it. Result: TestLargeHandOverFitsIntoOneMessage, TestBatchTooLargeToForwardIsNoFailureOfItsOwner.

--- a/batch/drain.go
+++ b/batch/drain.go
@@ -19,6 +19,8 @@
 	storeCheckTimeout  = 700 * time.Millisecond
 	// handOverReserve is the part of the stop time that is kept for the hand-over itself.
 	handOverReserve = 2500 * time.Millisecond
+	// maxMessageBytes bounds what is sent to another daemon at once: drpc refuses messages over 4 MiB.
+	maxMessageBytes = 3 << 20
 )
 
 // Drain hands the batches that this daemon runs over to other daemons, with the completions of the items
@@ -77,7 +79,7 @@
 	if r.results.confirmedCount() >= len(r.job.Items) {
 		return
 	}
-	value, err := json.Marshal(completions)
+	value, err := encodeHandOver(completions)
 	if err != nil {
 		return
 	}
@@ -97,6 +99,31 @@
 	}
 }
 
+// encodeHandOver encodes completions for one message. If not all fit, the longest go over; of the others
+// only their failures, and they are generated again.
+func encodeHandOver(completions map[string]*Completion) ([]byte, error) {
+	value, err := json.Marshal(completions)
+	if err != nil || len(value) <= maxMessageBytes {
+		return value, err
+	}
+	all := make(map[string]Completion, len(completions))
+	for id, completion := range completions {
+		all[id] = *completion
+	}
+	for limit := maxMessageBytes; len(value) > maxMessageBytes && limit > 0; limit /= 2 { // encoded text may be longer
+		chosen := selectCompletions(all, limit)
+		for id, completion := range all {
+			if _, fits := chosen[id]; !fits && completion.Failures > 0 {
+				chosen[id] = Completion{Failures: completion.Failures}
+			}
+		}
+		if value, err = json.Marshal(chosen); err != nil {
+			return nil, err
+		}
+	}
+	return value, nil
+}
+
 func (m *Manager) handOverTo(ctx context.Context, address string, request *batchpb.JobRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
--- a/batch/drain_test.go
+++ b/batch/drain_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -206,3 +210,29 @@
 		t.Errorf("requests %v; want the first settled and the second not", requests)
 	}
 }
+
+// Guards against a hand-over that fails as a whole because its texts are over the largest message: the
+// longest texts and all failures go over.
+func TestLargeHandOverFitsIntoOneMessage(t *testing.T) {
+	for name, text := range map[string]string{"plain text": strings.Repeat("x", 1000), "text that grows when it is encoded": strings.Repeat("\x01", 1000)} {
+		completions := map[string]*Completion{}
+		for n := 1; n <= 100; n++ {
+			completions[fmt.Sprint(n)] = &Completion{Events: slices.Repeat([]string{text}, n), Failures: 1}
+		}
+		value, err := encodeHandOver(completions)
+		if err != nil || len(value) > maxMessageBytes {
+			t.Fatalf("%s: %d bytes, error %v", name, len(value), err)
+		}
+		var received map[string]*Completion
+		if err := json.Unmarshal(value, &received); err != nil {
+			t.Fatal(err)
+		}
+		if len(received) != 100 || received["1"].Failures != 1 || len(received["100"].Events) != 100 || len(received["1"].Events) != 0 {
+			t.Errorf("%s: %d completions, %d events of the longest, %d of the shortest", name, len(received), len(received["100"].Events), len(received["1"].Events))
+		}
+	}
+	small := map[string]*Completion{"a": {Events: []string{"x"}, Complete: true, Score: "1"}}
+	if value, err := encodeHandOver(small); err != nil || !reflect.DeepEqual(handedOver(t, small), small) || len(value) > 200 {
+		t.Errorf("a small hand-over of %d bytes is changed, error %v", len(value), err)
+	}
+}
--- a/batch/owner.go
+++ b/batch/owner.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the batch can't be encoded for forwarding", "report this defect", fault.WithOutcome(fault.NotRun))
 	}
+	if len(value) > maxMessageBytes { // the owner is not at fault
+		return fault.New(fault.Invalid, "the batch is too large to be forwarded", "run the batch here", fault.WithOutcome(fault.NotRun))
+	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	members := m.members() // called without m.mu: the mirror calls this manager with its own lock held
--- a/batch/owner_test.go
+++ b/batch/owner_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/standin/memstore"
 )
 
 // Guards against steps that are delayed because their trainer's batches are owned by a small instance of
@@ -35,3 +38,18 @@
 		t.Errorf("%d owners if only small instances are left, want both", len(got))
 	}
 }
+
+// Guards against an owner that is suspected and skipped because a batch does not fit into one message.
+func TestBatchTooLargeToForwardIsNoFailureOfItsOwner(t *testing.T) {
+	m := newDrainManager(memstore.New())
+	m.members = func() map[string]string { return map[string]string{"d": "1", "owner": "2"} }
+	m.conns = refusingOwner{err: fault.New(fault.Unavailable, "message too large", "")}
+	m.reportUnresponsive = func(id string) { t.Errorf("%s is reported as not responding", id) }
+	job := Job{ID: "b", Items: []Item{{ID: "i", Path: "/x", Body: make([]byte, maxMessageBytes)}}}
+	if err := m.forward(t.Context(), "owner", job); fault.OutcomeOf(err) != fault.NotRun {
+		t.Errorf("error %v, want one with outcome not run", err)
+	}
+	if len(m.ownerBackoffs) > 0 {
+		t.Error("the owner is skipped")
+	}
+}
--- a/batch/save.go
+++ b/batch/save.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		lastSave = time.Now()
-		if completions := selectCompletions(s.unstored()); len(completions) > 0 {
+		if completions := selectCompletions(s.unstored(), maxSavedBytes); len(completions) > 0 {
 			if err := s.save(completions); err != nil {
 				lastSave = lastSave.Add(-minSaveInterval / 2) // retry early, but not at each check while the store fails
 				r.log.Log(event.BatchPartialsNotSaved, event.F("batch", r.job.ID), event.F("texts", len(completions)), event.Err(err))
--- a/batch/save_policy.go
+++ b/batch/save_policy.go
@@ -29,8 +29,8 @@
 }
 
 // selectCompletions returns the completions to save: the longest, which would take the most time
-// to regenerate, as far as they fit.
-func selectCompletions(completions map[string]Completion) map[string]Completion {
+// to regenerate, as far as they fit into maxBytes.
+func selectCompletions(completions map[string]Completion, maxBytes int) map[string]Completion {
 	ids := make([]string, 0, len(completions))
 	for id, completion := range completions {
 		if len(completion.Events) > 0 {
@@ -43,7 +43,7 @@
 		for _, e := range completions[id].Events {
 			size += len(e) + eventOverheadBytes
 		}
-		if size > maxSavedBytes {
+		if size > maxBytes {
 			break
 		}
 		chosen[id] = completions[id]
--- a/batch/save_policy_test.go
+++ b/batch/save_policy_test.go
@@ -44,7 +44,7 @@
 	for n := 1; n <= 40; n++ {
 		completions[fmt.Sprint(n)] = Completion{Events: strings.Split(strings.Repeat(strings.Repeat("x", 1000)+" ", n), " ")[:n]}
 	}
-	chosen := selectCompletions(completions)
+	chosen := selectCompletions(completions, maxSavedBytes)
 	size, least := 0, 41
 	for _, completion := range chosen {
 		size, least = size+len(completion.Events)*(1000+eventOverheadBytes), min(least, len(completion.Events))
