platform: answers of the store and the weight store have a common bound

Cause: bytes without end. Change: an answer has at most 16 MiB and its head 64 KiB; all answers that are being read share one sixteenth of the memory, shown in held_bytes. A call over the bound fails as one without a response. The platform API's answers are discarded as before; their heads have the same bound.

--- a/connlimit/read.go
+++ b/connlimit/read.go
@@ -15,23 +15,37 @@
 	MaxPart = 1 << 20
 )
 
-// ErrUsedUp is returned by ReadAll if the budget is used up.
-var ErrUsedUp = errors.New("the memory for messages is used up")
+// Errors of ReadAll.
+var (
+	ErrUsedUp  = errors.New("the memory for messages is used up")
+	ErrTooLong = errors.New("the message is over its size limit")
+)
 
 // joining is held while the parts of a body are joined. Only one body of the process is joined at a time:
 // its copy is not charged to a budget.
 var joining sync.Mutex
 
-// ReadAll reads a body of the given size, -1 if it is unknown, as far as the budget allows.
-func (h *Holder) ReadAll(reader io.Reader, size int64) ([]byte, error) {
-	parts, complete, err := h.ReadParts(reader, size, 0)
-	if err != nil {
+// ReadAll reads a complete body of the given size, -1 if it is unknown, of less than limit bytes, 0 for no
+// limit.
+func (h *Holder) ReadAll(reader io.Reader, size, limit int64) ([]byte, error) {
+	parts, complete, err := h.ReadParts(reader, size, limit)
+	switch {
+	case err != nil:
 		return nil, err
+	case complete:
+		return join(parts), nil
+	case limit > 0 && totalLength(parts) >= limit:
+		return nil, ErrTooLong
 	}
-	if !complete {
-		return nil, ErrUsedUp
+	return nil, ErrUsedUp
+}
+
+func totalLength(parts [][]byte) int64 {
+	total := int64(0)
+	for _, part := range parts {
+		total += int64(len(part))
 	}
-	return join(parts), nil
+	return total
 }
 
 // ReadParts reads a body of the given size, -1 if it is unknown, until its end, until limit bytes were
@@ -71,11 +85,7 @@
 	}
 	joining.Lock()
 	defer joining.Unlock()
-	total := 0
-	for _, part := range parts {
-		total += len(part)
-	}
-	body := make([]byte, 0, total)
+	body := make([]byte, 0, totalLength(parts))
 	for i, part := range parts {
 		body = append(body, part...)
 		parts[i] = nil // the garbage collector may free the part before the next one is copied
--- a/edge/clients.go
+++ b/edge/clients.go
@@ -41,6 +41,7 @@
 const (
 	responseBuffers = "responses" // bodies of responses before their first byte is sent
 	textBuffers     = "texts"     // unfinished completions of items
+	answerBuffers   = "answers"   // of the store, while they are read
 )
 
 // newBufferBudget returns the budget of one kind of buffer.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -34,7 +34,7 @@
 		{"proof_age_ms", "ms since the configuration was last proven to be the newest; an hour if it never was or no proofs are asked for", func() any { return d.Mirror.ProofAge().Milliseconds() }},
 		{"duties", "usage reports: the daemon that holds the duty, the last windows and this daemon's counts by organisation; null if none are asked for", func() any { return d.Duties.dump() }},
 		{"refused_clients", "clients refused since the start, by reason: `head_bytes` (head too long), `head_time` (head not complete in time), `idle_time` (no byte of a request or its body for too long), `head_memory` (largest of too many unfinished heads), `connections` (longest idle of too many connections), `all_busy` (new connection while all others had a request running), `body_memory` (memory of request bodies used up)", func() any { return d.refusedClients() }},
-		{"held_bytes", "memory charged now, in bytes, by kind: `bodies` (request bodies), `responses` (responses before their first byte is sent), `texts` (unfinished completions of items). Completions over their memory start over, responses over theirs are forwarded unbuffered", func() any { return d.heldBytes() }},
+		{"held_bytes", "memory charged now, in bytes, by kind: `bodies` (request bodies), `responses` (responses before their first byte is sent), `texts` (unfinished completions of items), `answers` (of the store, while they are read). Completions over their memory start over, responses over theirs are forwarded unbuffered", func() any { return d.heldBytes() }},
 		{"configuration_version", "version in force; 0 while none is", func() any {
 			if c := d.configuration.Load(); c != nil {
 				return c.Version
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -27,7 +27,7 @@
 		func(measures *measure.Set) *platform.Client {
 			return platform.NewClient(platform.Config{
 				Address: s.Store.Address, CallTimeout: s.Store.CallTimeout, WatchWait: s.Store.WatchWait, WriteRate: s.Store.MaxWritesPerSecond,
-				Measures: measures,
+				Measures: measures, Answers: d.newBufferBudget(answerBuffers),
 			}, d.log)
 		},
 		func() *peer.Pool {
