edge: each request during a planned stop learns whether it ran

Cause: the end of a planned stop. A stopping daemon passed on whatever came on open connections, also what could not end before its time was over, and then closed the connections: the caller of a request that may not be repeated learned nothing. Change: while a daemon stops, a request goes to a replica only if it ends before the time is over: by its deadline, or by the usual time of its route (the 90th percentile of the last 64 responses). While that is unknown only requests that may be repeated are sent, since a route's timeout is many times longer than its requests take. Others get 503 as not run, at once. Requests at a replica when the time ends get 502 (outcome unknown), or 503 if none ran them, 250 ms before connections are closed.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -51,6 +51,9 @@
 	// stopMargin is the part of the stop time that is reserved for the steps after the
 	// shutdown of the front server.
 	stopMargin = 700 * time.Millisecond
+	// responseTime is the part of the stop time before that in which the requests that are left get
+	// their error responses.
+	responseTime = 250 * time.Millisecond
 )
 
 // Daemon serves callers and trainers. A process runs one of them.
@@ -212,13 +215,15 @@
 	leasesCtx, cancelLeases := context.WithCancel(ctx)
 	defer cancelLeases()
 	startLeases(leasesCtx, &running, func(ctx context.Context) { _ = d.Waves.Run(ctx) }, d.Duties.runReports)
-	frontServer := d.serveFront(d.listeners.front)
-	readyServer := serveHTTP(d.listeners.ready, platform.ReadyHandler(d.ready))
-	metricServer := d.serveMetrics(d.listeners.metric)
+	requestsCtx, endRequests := context.WithCancelCause(workCtx)
+	defer endRequests(nil)
+	frontServer := d.serveFront(requestsCtx, d.listeners.front)
+	readyServer := serveHTTP(workCtx, d.listeners.ready, platform.ReadyHandler(d.ready))
+	metricServer := d.serveMetrics(workCtx, d.listeners.metric)
 	d.log.Log(event.EdgeStarted, event.F("front", d.settings.FrontAddress), event.F("peer", d.settings.PeerAddress))
 	select {
 	case <-ctx.Done():
-		d.stop(workCtx, frontServer)
+		d.stop(workCtx, frontServer, func() { endRequests(gateway.ErrStopTimeOver) })
 	case <-d.aborted:
 		cancelLeases()
 	}
@@ -277,33 +282,45 @@
 	}
 }
 
-func (d *Daemon) serveFront(listener net.Listener) *http.Server {
-	return serveHTTP(listener, platform.NewFrontHandler(d.Gateway, d.Batches, d.Gate, d.draining.Load, d.bodies, d.log))
+// serveFront serves callers and trainers. The contexts of their requests end with requests.
+func (d *Daemon) serveFront(requests context.Context, listener net.Listener) *http.Server {
+	handler := platform.NewFrontHandler(d.Gateway, d.Batches, d.Gate, d.draining.Load, d.bodies, d.log)
+	return serveHTTP(requests, listener, handler)
 }
 
 // serveHTTP serves the connections of a limited listener.
-func serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, IdleTimeout: idleTimeout, MaxHeaderBytes: libraryHeadBytes}
+func serveHTTP(requests context.Context, listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: handler, IdleTimeout: idleTimeout, MaxHeaderBytes: libraryHeadBytes,
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}
 	connlimit.Watch(server)
 	go func() { _ = server.Serve(listener) }() // ends with Shutdown or Close
 	return server
 }
 
 // stop drains the daemon within StopTime. Batches are handed over while callers are still served:
-// a peer that does not respond must not take the time of the requests in flight.
-func (d *Daemon) stop(workCtx context.Context, front *http.Server) {
+// a peer that does not respond must not take the time of the requests in flight. endRequests ends those
+// that are left at the end, each with an error response.
+func (d *Daemon) stop(workCtx context.Context, front *http.Server, endRequests func()) {
 	d.log.Log(event.DaemonDraining)
 	start := time.Now()
-	stopCtx, cancel := context.WithDeadline(workCtx, start.Add(d.settings.StopTime-stopMargin))
+	end := start.Add(d.settings.StopTime - stopMargin)
+	stopCtx, cancel := context.WithDeadline(workCtx, end)
 	defer cancel()
+	d.Gateway.StopBy(end.Add(-responseTime))
 	d.draining.Store(true)
 	var handOver sync.WaitGroup
 	handOver.Go(func() { d.Batches.Drain(stopCtx) })
 	time.Sleep(time.Until(start.Add(drainNoticeTime)))
+	requestsEnd := time.AfterFunc(time.Until(end.Add(-responseTime)), func() {
+		d.log.Log(event.DaemonDrainTimeExceeded, event.Err(gateway.ErrStopTimeOver))
+		endRequests()
+	})
 	if err := front.Shutdown(stopCtx); err != nil {
-		d.log.Log(event.DaemonDrainTimeExceeded, event.Err(err))
 		_ = front.Close()
 	}
+	requestsEnd.Stop()
 	handOver.Wait()
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"expvar"
 	"io"
 	"net"
@@ -54,7 +55,7 @@
 }
 
 // serveMetrics serves the metrics. It returns nil if listener is nil.
-func (d *Daemon) serveMetrics(listener net.Listener) *http.Server {
+func (d *Daemon) serveMetrics(requests context.Context, listener net.Listener) *http.Server {
 	if listener == nil {
 		return nil
 	}
@@ -62,7 +63,7 @@
 	for _, m := range d.metrics() {
 		vars.Set(m.name, expvar.Func(m.value))
 	}
-	return serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return serveHTTP(requests, listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(w, vars.String()) // on an error the client has disconnected
 	}))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/catalog"
@@ -61,6 +62,8 @@
 	timeouts *timeoutTracker
 	budget   *retryBudget
 	buffers  *connlimit.Budget // of response bodies that are buffered before their first byte is sent
+	usual    *usualTimes
+	stopBy   atomic.Pointer[time.Time] // nil unless the daemon is stopping
 	counts   counters
 	onRun    func(organisation string, begunAt time.Time)
 }
@@ -87,7 +90,7 @@
 func New(backend upstream.Backend, tracker *placement.Tracker, guard Guard, measures *measure.Set, log *event.Logger) *Gateway {
 	return &Gateway{
 		backend: backend, tracker: tracker, guard: guard, measures: measures, log: log, timeouts: newTimeoutTracker(), budget: newRetryBudget(),
-		buffers: connlimit.NewBudget(math.MaxInt64), onRun: func(string, time.Time) {},
+		buffers: connlimit.NewBudget(math.MaxInt64), usual: newUsualTimes(), onRun: func(string, time.Time) {},
 	}
 }
 
@@ -172,6 +175,9 @@
 		if err := p.checkGuard(); err != nil {
 			return p.guardError(err)
 		}
+		if err := p.checkStop(); err != nil {
+			return p.guardError(err)
+		}
 		lease := p.pick()
 		if lease == nil && p.awaitRequestLimit(ctx) {
 			continue
@@ -235,7 +241,15 @@
 	return fault.New(fault.Unavailable, "no response", "")
 }
 
+// deadlineError returns the error of a request whose context ended.
 func (p *pendingRequest) deadlineError(ctx context.Context) error {
+	switch {
+	case stopTimeOver(ctx) && p.mayHaveRun:
+		return fault.Wrap(ErrStopTimeOver, fault.Ambiguous, "the request may have run", "check its effect before sending it again", fault.WithOutcome(fault.Unknown))
+	case stopTimeOver(ctx):
+		return fault.Wrap(ErrStopTimeOver, fault.Draining, "no replica ran the request", "send it again to another daemon",
+			fault.WithOutcome(fault.NotRun), fault.WithRetryAfter(stopRetryDelay))
+	}
 	if !p.mayHaveRun {
 		return fault.Wrap(ctx.Err(), fault.Deadline, "no replica accepted the request before the deadline", "allow more time", fault.WithOutcome(fault.NotRun))
 	}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -47,10 +47,11 @@
 	switch {
 	case err == nil:
 		p.counts.answered.Add(1)
+		p.usual.record(p.route.Name, duration)
 		p.measures.Observe(measure.RequestWhole, duration, p.route.Name, outcomeAnswered)
 		p.log.Log(event.GatewayResponseForwarded, event.F("request", p.request.ID), event.F("route", p.route.Name),
 			event.F("replica", p.servedBy), event.F("status", p.status), event.F("attempts", len(p.tried)), event.F("ms", duration.Milliseconds()))
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !stopTimeOver(ctx):
 		p.counts.canceled.Add(1)
 		p.measures.Observe(measure.RequestWhole, duration, p.route.Name, outcomeCanceled)
 		p.log.Log(event.GatewayCallerDisconnected, event.F("request", p.request.ID), event.F("route", p.route.Name), event.F("ms", duration.Milliseconds()))
