mirror: an odd object no longer ends every daemon

Cause: one odd entry. An object without a name (listed as "_") has a key without the slash that observers cut off: each daemon that learned of it panicked, in the goroutine that follows the store, and again after each restart. Result: TestOddObjectEndsNoDaemon panics without the change (slice bounds out of range), as did an edge daemon with servers/_ in the store.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -106,6 +106,7 @@
 	respondedAt time.Time            // when the store last responded to a list or watch call of this daemon
 	missing     map[string]time.Time // when to delete an object that is missing after an outage, by key
 	source      string               // Change.From of the changes being applied
+	log         *event.Logger
 }
 
 // New returns an empty mirror. Observe must be called before Run.
@@ -117,7 +118,7 @@
 		continuity: continuity{staleDaemons: map[string]bool{}}, proof: proof{now: clock.BootTime},
 	}
 	for _, kind := range cfg.Kinds {
-		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, missing: map[string]time.Time{}}
+		m.kinds[kind.Name] = &kindCopy{Kind: kind, objects: map[string]objectapi.Object{}, missing: map[string]time.Time{}, log: log}
 	}
 	return m
 }
@@ -307,10 +308,18 @@
 	return expired
 }
 
-// owns reports whether an object with the key is of this kind.
-func (k *kindCopy) owns(key string) bool { return strings.HasPrefix(key, k.Name+"/") }
+// owns reports whether an object with the key is of this kind and has a name.
+func (k *kindCopy) owns(key string) bool {
+	name, found := strings.CutPrefix(key, k.Name+"/")
+	return found && name != ""
+}
 
+// set applies a change and calls the observers. An object without a name is ignored. An observer that
+// panics ends nothing else: the object that it can't bear comes again at each daemon and each restart.
 func (k *kindCopy) set(change Change) {
+	if !k.owns(change.Key) {
+		return
+	}
 	change.From = k.source
 	delete(k.missing, change.Key)
 	if change.Deleted {
@@ -319,6 +328,6 @@
 		k.objects[change.Key] = change.Object
 	}
 	for _, f := range k.observers {
-		f(change)
+		k.log.Guard("observer of "+change.Key, func() { f(change) })
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -222,3 +222,24 @@
 		t.Errorf("sources %v", from)
 	}
 }
+
+// Guards against an object that ends every daemon, and each again after its restart: one without a name,
+// whose key is only its kind, or one that an observer can't bear.
+func TestOddObjectEndsNoDaemon(t *testing.T) {
+	m := newTestMirror()
+	var observed []string
+	m.Observe("servers", func(c Change) {
+		if c.Key == "servers/bad" {
+			panic("odd object")
+		}
+		observed = append(observed, c.Key[len("servers/"):])
+	})
+	objects := []objectapi.Object{{Key: "servers", Version: 1}, testObject("", 1), testObject("a", 2), testObject("bad", 3), testObject("z", 4)}
+	m.replace("servers", objectapi.Snapshot{Revision: 5, Objects: objects})
+	m.apply("servers", objectapi.Change{Revision: 6, Object: objectapi.Object{Key: "servers", Version: 6}})
+	m.apply("servers", objectapi.Change{Revision: 7, Object: objectapi.Object{Key: "servers", Version: 7}, Deleted: true})
+	m.apply("servers", objectapi.Change{Revision: 8, Object: testObject("b", 8)})
+	if fmt.Sprint(observed) != "[a z b]" {
+		t.Errorf("observed %v, want a, z and b", observed)
+	}
+}
