lease: absurd times in the stored object block nobody

Cause: one odd entry. The next holder waits as long as the stored lease says. Change: no wait is longer than the lease's duration.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -157,6 +157,9 @@
 		return 0, leaseValue{}, false, err
 	}
 	readable = json.Unmarshal(o.Value, &current) == nil
+	// No holder waits for longer, or made its last call in the future. Other numbers would block the lease.
+	longest := l.cfg.Duration.Milliseconds()
+	current.WaitMs, current.SinceLastCallMs = min(max(current.WaitMs, 0), longest), min(max(current.SinceLastCallMs, 0), longest)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holder = current.Holder
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -322,3 +322,25 @@
 		t.Error("the lease was not released")
 	}
 }
+
+// Guards against a lease that nobody can use any more because its object has absurd times or is no
+// lease at all.
+func TestOddLeaseObjectIsTakenOver(t *testing.T) {
+	for _, value := range []string{
+		`{"holder":"x","released":true,"quiet_ms":-9223372036854775808}`, `{"holder":"x","released":true,"quiet_ms":9223372036854775807}`, `{"holder":"x","released":true,"quiet_ms":-86400000}`,
+		`{"holder":"d1","incarnation":7,"wait_ms":9223372036854775807}`, `{"holder":"d1","incarnation":7,"wait_ms":86400000}`, `{"holder":7}`, `[]`, ``,
+	} {
+		store, now := memstore.New(), time.Hour
+		if _, err := store.Create(t.Context(), "leases/test", []byte(value)); err != nil {
+			t.Fatal(err)
+		}
+		l := New(Config{Key: "leases/test", Self: "d1", Incarnation: 8, Duration: time.Second, Clock: func() time.Duration { return now }}, store, nil)
+		for range 50 {
+			l.Acquire(t.Context())
+			now += 100 * time.Millisecond
+		}
+		if _, held := l.Holds(); !held {
+			t.Errorf("%s: the lease is not held after 5 s", value)
+		}
+	}
+}
