batch: an unreadable chunk of results is passed over

Cause: one odd entry. A chunk that can't be decoded ended the log of its batch: a reader got an error for the whole list, and no later chunk was written. Change: such a chunk counts as empty at each daemon alike (event 1524), so later chunks keep their positions; its items are listed later. A chunk that the store refuses as too large is tried again after 2 s instead of at once. Result: TestUnreadableChunkIsPassedOver fails without the change.

--- a/batch/log.go
+++ b/batch/log.go
@@ -22,6 +22,8 @@
 	// maxChunkBytes bounds the encoded results in one object, with room for the store's own encoding.
 	maxChunkBytes   = objectapi.MaxValueBytes / 2
 	chunkRetryDelay = 150 * time.Millisecond
+	// chunkRefusedDelay is the delay after a chunk that the store does not accept at all.
+	chunkRefusedDelay = 2 * time.Second
 )
 
 // resultLog is the results log of one batch. Chunk n is written with create-if-absent, and only
@@ -70,8 +72,8 @@
 	for _, o := range snapshot.Objects {
 		if o.Key == completionsKey(l.id) {
 			saved = o.Value
-		} else if err := l.confirmObject(o); err != nil {
-			return nil, err
+		} else {
+			l.confirmObject(o)
 		}
 	}
 	if saved == nil {
@@ -80,14 +82,25 @@
 	return decodeCompletions(saved, l.hasResult), nil
 }
 
-// confirmObject confirms a stored chunk. Chunks that are already confirmed are ignored.
-func (l *resultLog) confirmObject(o objectapi.Object) error {
+// confirmObject confirms a stored chunk. Chunks that are already confirmed are ignored. One that can't be
+// decoded counts as empty, at each daemon alike: its items are listed by later chunks. Otherwise the log
+// would end before it.
+func (l *resultLog) confirmObject(o objectapi.Object) {
 	var results []Result
 	if err := json.Unmarshal(o.Value, &results); err != nil {
-		return fault.Wrap(err, fault.Internal, "chunk "+o.Key+" can't be decoded", "report this defect")
+		results = nil
+		if l.isNext(o.Key) {
+			l.log.Log(event.BatchChunkUnreadable, event.F("batch", l.id), event.F("chunk", o.Key), event.Err(err))
+		}
 	}
 	l.confirm(o.Key, results)
-	return nil
+}
+
+// isNext reports whether a chunk follows those that are confirmed.
+func (l *resultLog) isNext(key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return key == chunkKey(l.id, l.chunks)
 }
 
 // confirm appends a chunk that the store holds. Both the writer and a reader of the store may
@@ -274,6 +287,7 @@
 		case fault.Is(err, fault.Invalid):
 			l.setUnsettled(false)
 			l.log.Log(event.BatchChunkRefused, event.F("batch", l.id), event.F("chunk", key), event.Err(err))
+			clock.Sleep(ctx, chunkRefusedDelay)
 			return
 		}
 		clock.Sleep(ctx, chunkRetryDelay)
@@ -330,5 +344,6 @@
 		l.markContested()
 		l.log.Log(event.BatchChunkConflict, event.F("batch", l.id), event.F("chunk", key))
 	}
-	return l.confirmObject(o) == nil
+	l.confirmObject(o)
+	return true
 }
--- a/batch/log_test.go
+++ b/batch/log_test.go
@@ -207,3 +207,29 @@
 		t.Errorf("states %v", states)
 	}
 }
+
+// Guards against a batch whose results end at a stored chunk that can't be decoded. Its position is passed
+// over by each daemon, so that the items of later chunks keep the same positions everywhere.
+func TestUnreadableChunkIsPassedOver(t *testing.T) {
+	store := memstore.New()
+	for n, value := range []string{`[{"id":"a","state":"completed"}]`, `{"not":"a chunk"}`} {
+		if _, err := store.Create(t.Context(), chunkKey("b", n), []byte(value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writer, reader := newResultLog("b", store, nil), newResultLog("b", store, nil)
+	if err := writer.load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go writer.write(ctx, func(string, []Result, int, time.Duration) {})
+	writer.add(Result{ID: "c", State: Completed}, true)
+	eventually(t, "the next result is listed", func() bool { return writer.confirmedCount() == 2 })
+	if err := reader.load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(uniqueIDs(t, reader), " "); got != "a c" {
+		t.Errorf("a reader lists %q, want a and c", got)
+	}
+}
--- a/event/batch.go
+++ b/event/batch.go
@@ -26,5 +26,6 @@
 	BatchPartialsSaved    = define(1521, logrus.InfoLevel, "partial completions saved", "The store holds the partial completions; a daemon that takes over the batch continues from them.")
 	BatchPartialsNotSaved = define(1522, logrus.InfoLevel, "partial completions not saved", "The store did not accept the partial completions; the write is retried later. If the batch is taken over before that, they are generated again.")
 	BatchOwnerSkipped     = define(1512, logrus.InfoLevel, "batch owner skipped", "The daemon that runs the trainer's steps did not accept the batch; the daemon that received it runs it.")
+	BatchChunkUnreadable  = define(1524, logrus.ErrorLevel, "stored results are unreadable", "Another writer created or changed the object. It counts as empty; its items are listed again in a later one.")
 	BatchResultTooLarge   = define(1523, logrus.ErrorLevel, "result fits into no object", "The item is listed as errored, since its output is larger than the store's values may be. Bound the length of outputs.")
 )
