Objects with absurd or foreign contents cost only themselves

Cause: one odd entry, what comes after decoding. A version could name another model. A batch could name another batch, or 10^12 parts: reading and removing them does not end and holds up all other batches.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -42,7 +42,7 @@
 	var tokens float64
 	for _, item := range job.Items {
 		if item.ExpectedTokens > 0 {
-			tokens += float64(item.ExpectedTokens)
+			tokens += float64(min(item.ExpectedTokens, maxExpectedTokens))
 		} else {
 			tokens += defaultItemTokens
 		}
--- a/batch/job.go
+++ b/batch/job.go
@@ -119,6 +119,8 @@
 // Limits of one batch.
 const (
 	maxItems = 20_000
+	// maxExpectedTokens bounds the estimate for one item: replicas are divided between models by it.
+	maxExpectedTokens = 1 << 24
 	// maxPartBytes bounds the items in one object, with room for the store's own encoding.
 	maxPartBytes = objectapi.MaxValueBytes / 2
 	// maxHeadBytes bounds a head that includes its items: every daemon caches all heads, but
@@ -163,6 +165,20 @@
 	return j, err
 }
 
+// decodeStoredJob decodes the head at key. It returns an error for one that no daemon wrote: its name is
+// that of another batch, or its numbers are out of range, so that work on it would not end.
+func decodeStoredJob(key string, value []byte) (Job, error) {
+	j, err := decodeJob(value)
+	if err != nil {
+		return Job{}, err
+	}
+	inRange := j.Parts >= 0 && j.Parts <= maxItems && j.total() > 0 && j.total() <= maxItems && (len(j.Items) > 0 || j.Parts > 0)
+	if j.ID == "" || jobKey(j.ID) != key || !inRange || !(j.ExpectedTokens >= 0 && j.ExpectedTokens <= maxItems*maxExpectedTokens) {
+		return Job{}, fault.New(fault.Invalid, key+" does not describe a batch of that name", "remove the object")
+	}
+	return j, nil
+}
+
 // encode returns the objects of a job: the head, and parts if the items do not fit into it.
 func (j Job) encode() (head []byte, parts [][]byte, err error) {
 	j.ExpectedTokens = expectedTokens(j)
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,7 +101,7 @@
 
 // jobChanged handles a created or deleted batch.
 func (m *Manager) jobChanged(c mirror.Change) {
-	job, err := decodeJob(c.Value)
+	job, err := decodeStoredJob(c.Key, c.Value)
 	if c.Deleted {
 		job.ID = idFromKey(KindBatches, c.Key)
 	} else if err != nil {
@@ -165,7 +166,7 @@
 	}
 }
 
-func idFromKey(kind, key string) string { return key[len(kind)+1:] }
+func idFromKey(kind, key string) string { return strings.TrimPrefix(key, kind+"/") }
 
 // wake triggers a supervision round. The caller holds m.mu.
 func (m *Manager) wake() {
@@ -233,7 +234,7 @@
 		}
 		return nil, storeUnavailable(err)
 	}
-	job, err := decodeJob(o.Value)
+	job, err := decodeStoredJob(o.Key, o.Value)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "batch "+id+" can't be decoded", "report this defect")
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,10 +147,20 @@
 		}
 	})
 	d.Mirror.Observe(platform.VersionKind, func(c mirror.Change) {
-		if v, err := platform.DecodeModelVersion(c.Key, c.Value); err == nil && !c.Deleted {
+		v, err := platform.DecodeModelVersion(c.Key, c.Value)
+		switch {
+		case c.Deleted:
+		case err != nil:
+			d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
+		default:
 			d.Waves.RecordVersion(v)
 		}
 	})
+	d.Mirror.Observe(platform.MemberKind, func(c mirror.Change) {
+		if _, err := platform.DecodeMember(c.Key, c.Value); err != nil && !c.Deleted {
+			d.log.Log(event.EdgeEntryUnreadable, event.F("key", c.Key), event.Err(err))
+		}
+	})
 }
 
 func (d *Daemon) configurationChanged(c mirror.Change) {
@@ -172,7 +183,7 @@
 
 func (d *Daemon) replicaChanged(c mirror.Change) {
 	replica, err := platform.DecodeReplica(c.Key, c.Value)
-	id := c.Key[len(platform.ReplicaKind)+1:]
+	id := strings.TrimPrefix(c.Key, platform.ReplicaKind+"/")
 	switch {
 	case c.Deleted:
 		d.Tracker.Remove(id)
--- a/edge/members.go
+++ b/edge/members.go
@@ -32,8 +32,7 @@
 func (d *Daemon) knownMembers() []platform.Member {
 	var members []platform.Member
 	for _, o := range d.Mirror.Objects(platform.MemberKind) {
-		var m platform.Member
-		if json.Unmarshal(o.Value, &m) == nil && m.ID != "" && m.PeerAddress != "" {
+		if m, err := platform.DecodeMember(o.Key, o.Value); err == nil {
 			members = append(members, m)
 		}
 	}
