mirror: changes that exceed one message are sent in parts

All changes of a daemon's copy were one message; drpc refuses messages over 4 MiB, so a few large objects kept the daemons that don't watch the store from learning anything. Change: at most 2 MiB and one object are sent at once, the oldest changes first. Until the last part the copy counts as incomplete: no age, no proof; the caller asks again at once. Result: TestLargeUpdatesComeInParts; in one part the response has over 10 MiB.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -1,10 +1,14 @@
 package mirror
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
 	"github.com/hornbeamtide/hornbeamtide/mirror/mirrorpb"
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
@@ -243,3 +247,72 @@
 		t.Errorf("observed %v, want a, z and b", observed)
 	}
 }
+
+// serviceConn connects a mirror with the service of another one.
+type serviceConn struct {
+	drpc.Conn
+
+	service service
+	largest int // size of the largest response
+	calls   int
+}
+
+// serviceConns implements peer.ConnProvider with one connection.
+type serviceConns struct{ conn *serviceConn }
+
+// Conn implements peer.ConnProvider.
+func (c serviceConns) Conn(context.Context, string) (drpc.Conn, error) { return c.conn, nil }
+
+// Invoke implements drpc.Conn.
+func (c *serviceConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	resp, err := c.service.Sync(ctx, in.(*mirrorpb.SyncRequest))
+	if err != nil {
+		return err
+	}
+	c.calls++
+	c.largest = max(c.largest, proto.Size(resp))
+	proto.Merge(out.(proto.Message), resp)
+	return nil
+}
+
+// Guards against daemons that learn nothing from others any more since a few large objects make the
+// response larger than a message may be. The changes then come in parts, and the copy counts as fresh
+// only with the last one.
+func TestLargeUpdatesComeInParts(t *testing.T) {
+	const maxMessage = 4 << 20 // of drpc
+	source, target := newTestMirror(), newTestMirror()
+	var objects []objectapi.Object
+	for n := range 12 {
+		o := testObject(fmt.Sprint("large-", n), int64(2*n+1))
+		o.Value = make([]byte, 900<<10)
+		objects = append(objects, o, testObject(fmt.Sprint("small-", n), int64(2*n+2)))
+	}
+	source.replace("servers", objectapi.Snapshot{Revision: 40, Objects: objects})
+	conn := &serviceConn{service: service{source}}
+	target.conns = serviceConns{conn}
+	if got := target.applyResponse("d2", 0, firstResponse(t, conn)); got != emptyCopy {
+		t.Errorf("the first of several parts counts as %v", got)
+	}
+	if got := target.syncFrom(t.Context(), Member{ID: "d2", Address: "a"}, 0); got != freshCopy {
+		t.Errorf("all parts count as %v", got)
+	}
+	if conn.largest > maxMessage || conn.calls > 12 {
+		t.Errorf("%d responses of up to %d bytes", conn.calls, conn.largest)
+	}
+	if got, want := len(target.Objects("servers")), len(objects); got != want || target.kinds["servers"].revision != 40 {
+		t.Errorf("%d of %d objects up to revision %d", got, want, target.kinds["servers"].revision)
+	}
+	source.apply("servers", objectapi.Change{Revision: 41, Object: testObject("large-3", 41), Deleted: true})
+	if got := target.syncFrom(t.Context(), Member{ID: "d2", Address: "a"}, 0); got != freshCopy || hasObject(target, "large-3") {
+		t.Errorf("after a deletion: %v, still there: %v", got, hasObject(target, "large-3"))
+	}
+}
+
+func firstResponse(t *testing.T, conn *serviceConn) *mirrorpb.SyncAnswer {
+	t.Helper()
+	resp, err := conn.service.Sync(t.Context(), &mirrorpb.SyncRequest{Known: []*mirrorpb.Known{{Kind: "servers"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -1,7 +1,9 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -180,8 +182,31 @@
 	freshCopy
 )
 
-// syncFrom requests updates from a daemon, which may wait for changes, and applies them.
+// syncFrom requests updates from a daemon, which may wait for changes, and applies them. If they come in
+// several parts, it requests all of them.
 func (m *Mirror) syncFrom(ctx context.Context, from Member, wait time.Duration) syncResult {
+	for {
+		before := m.revisionSum()
+		result := m.syncPart(ctx, from, wait)
+		if result != emptyCopy || m.revisionSum() == before {
+			return result
+		}
+		wait = 0
+	}
+}
+
+// revisionSum grows whenever a kind gets newer.
+func (m *Mirror) revisionSum() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sum := int64(0)
+	for _, k := range m.kinds {
+		sum += k.revision
+	}
+	return sum
+}
+
+func (m *Mirror) syncPart(ctx context.Context, from Member, wait time.Duration) syncResult {
 	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeoutMargin)
 	defer cancel()
 	conn, err := m.conns.Conn(ctx, from.Address)
@@ -296,8 +321,13 @@
 	}
 }
 
+// maxUpdateBytes bounds the objects of one response: drpc refuses messages over 4 MiB, so that a few
+// large objects would keep all changes from other daemons.
+const maxUpdateBytes = 2 << 20
+
 // updatesFor returns the changes that the caller does not have, and a channel that is closed at
-// the next change.
+// the next change. If not all fit into one response, its copy counts as incomplete, and the caller asks
+// again for what came after the revisions that it got.
 func (m *Mirror) updatesFor(request *mirrorpb.SyncRequest) (*mirrorpb.SyncAnswer, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -306,22 +336,42 @@
 		AgeMs: m.advertisedAge().Milliseconds(), AgeAllMs: time.Since(m.allFreshAt).Milliseconds(),
 		UnbrokenMs: m.continuity.unbroken(time.Now(), m.freshAt).Milliseconds(), ProofAgeMs: m.advertisedProofAge(),
 	}
+	room := maxUpdateBytes
 	for _, known := range request.Known {
-		if k := m.kinds[known.Kind]; k != nil && k.revision > known.Revision && (k.lastChange > known.Revision || known.Revision == 0) {
-			resp.News = append(resp.News, k.updateAfter(known))
+		k := m.kinds[known.Kind]
+		if k == nil || k.revision <= known.Revision || k.lastChange <= known.Revision && known.Revision > 0 {
+			continue
+		}
+		if room > 0 {
+			update, size := k.updateAfter(known, room)
+			resp.News = append(resp.News, update)
+			room -= size
+		}
+		if room <= 0 {
+			resp.AgeMs, resp.AgeAllMs, resp.UnbrokenMs, resp.ProofAgeMs = unknownAge.Milliseconds(), unknownAge.Milliseconds(), 0, 0
 		}
 	}
 	return resp, m.changed
 }
 
-// updateAfter returns the changes after the caller's revision.
-func (k *kindCopy) updateAfter(known *mirrorpb.Known) *mirrorpb.News {
-	update := &mirrorpb.News{Kind: known.Kind, Revision: k.revision}
+// updateAfter returns the changes after the caller's revision, the oldest first, and their size. If they
+// exceed room, the update ends with an earlier revision.
+func (k *kindCopy) updateAfter(known *mirrorpb.Known, room int) (update *mirrorpb.News, size int) {
+	update = &mirrorpb.News{Kind: known.Kind, Revision: k.revision}
+	var changed []objectapi.Object
 	for key, o := range k.objects {
 		update.Keys = append(update.Keys, key)
 		if o.Version > known.Revision {
-			update.Changed = append(update.Changed, &mirrorpb.Object{Key: o.Key, Version: o.Version, Value: o.Value})
+			changed = append(changed, o)
+		}
+	}
+	slices.SortFunc(changed, func(a, b objectapi.Object) int { return cmp.Compare(a.Version, b.Version) })
+	for i, o := range changed {
+		if size += len(o.Key) + len(o.Value); size > room && i > 0 {
+			update.Revision = min(changed[i-1].Version, k.revision) // own writes may be newer than the copy
+			break
 		}
+		update.Changed = append(update.Changed, &mirrorpb.Object{Key: o.Key, Version: o.Version, Value: o.Value})
 	}
-	return update
+	return update, size
 }
