--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -314,5 +314,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	conn.largest = proto.Size(resp)
 	return resp
 }
