soak: completions without end and odd objects in the store

Change: kinds replica-endless and store-odd-objects, in a series of their own with its own random numbers, so that older seeds keep their other faults. The test replica ends no stream of a path that is named, instead of none at all: callers' streams of the soak are still checked event by event.

--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -65,7 +65,7 @@
 		{"unsigned responses", fakereplica.Faults{Unsigned: true}},
 		{"responses to another request", fakereplica.Faults{WrongRequestID: true}},
 		{"streams broken within an event", fakereplica.Faults{BreakAfter: 2}},
-		{"streams without end", fakereplica.Faults{Endless: true}},
+		{"streams without end", fakereplica.Faults{EndlessPath: itemPath}},
 		{"streams broken at their start", fakereplica.Faults{Status: http.StatusBadGateway}},
 	}
 	for _, row := range table {
--- a/standin/fakereplica/fakereplica.go
+++ b/standin/fakereplica/fakereplica.go
@@ -23,7 +23,7 @@
 	Unsigned           bool          // responses have no signature
 	WrongRequestID     bool          // responses carry the ID of another request
 	BreakAfter         int           // streams are cut within the next event after this many events; 0 for never
-	Endless            bool          // streams never end, with events of 4 KB
+	EndlessPath        string        // streams of paths that begin with it go on after their last event, with events of 4 KB; "" for none
 	Truncate           bool          // plain responses are cut in the middle of the body
 	Delay              time.Duration // delay before each event and before a plain response
 	LoseOrderResponses bool          // orders take effect but get no response
@@ -280,7 +280,8 @@
 	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
 	w.WriteHeader(http.StatusOK)
 	rc := http.NewResponseController(w)
-	for n := after + 1; n <= r.Events || f.Endless; n++ {
+	isEndless := f.EndlessPath != "" && strings.HasPrefix(req.URL.Path, f.EndlessPath)
+	for n := after + 1; n <= r.Events || isEndless; n++ {
 		select {
 		case <-req.Context().Done():
 			return
@@ -296,7 +297,7 @@
 			_, _ = fmt.Fprintf(w, "weight-versions: %d\n", version)
 		}
 		data := EventData(id, n)
-		if f.Endless {
+		if n > r.Events {
 			data = strings.Repeat(data, 4000/len(data))
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data)
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -159,7 +160,30 @@
 	return true
 }
 
+// oddObjects are objects of another writer that daemons must pass over.
+func oddObjects() map[string]json.RawMessage {
+	huge, _ := json.Marshal(strings.Repeat("x", 900<<10)) // a string always marshals
+	return map[string]json.RawMessage{
+		"servers/_": json.RawMessage(`{}`), "batches/_": json.RawMessage(`{}`), "members/_": json.RawMessage(`7`),
+		"servers/odd":  json.RawMessage(`{"Backend":"` + plainPool + `","Address":"127.0.0.1:1","State":"ready","Slots":4611686018427387904}`),
+		"members/odd":  json.RawMessage(`{"id":"odd","address":"x","peer_address":"127.0.0.1:0","cores":1e300}`),
+		"versions/odd": json.RawMessage(`{"Model":"` + engineModel + `","Version":4611686018427387904}`), "config/odd": json.RawMessage(`[]`),
+		"batches/odd": json.RawMessage(`"{\"id\":\"odd\",\"parts\":1000000000000,\"total\":5}"`), "ends/odd": json.RawMessage(`"ended"`),
+		"quarantine/odd": json.RawMessage(`"x"`), "servers/huge-1": huge, "servers/huge-2": huge, "batches/huge-1": huge, "batches/huge-2": huge, "batches/huge-3": huge,
+	}
+}
+
 func (r *run) storeFault(f Fault, kind string) {
+	if kind == "odd-objects" {
+		for key, value := range oddObjects() {
+			r.store.PutSpec(key, value)
+		}
+		r.sleep(f.Duration)
+		for key := range oddObjects() {
+			r.store.Remove(key)
+		}
+		return
+	}
 	faults := map[string]fakeplatform.Faults{
 		"outage": {Outage: true}, "slow": {SlowMS: 300}, "lossy": {LoseResponses: 4},
 		"refuse-writes": {RefuseWrites: 10}, "forget": {DropChanges: true}, "silent-watches": {SilenceWatches: true},
@@ -174,6 +198,7 @@
 	faults := map[string]fakereplica.Faults{
 		"full": {Full: true}, "slow": {Delay: 25 * eventDelay}, "garble": {WrongRequestID: true}, "unsigned": {Unsigned: true},
 		"truncate": {Truncate: true}, "break": {BreakAfter: 3}, "lose-orders": {LoseOrderResponses: true}, "error": {Status: 500},
+		"endless": {EndlessPath: "/drafts/"},
 	}
 	switch kind {
 	case "leave", "crash":
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -37,6 +37,7 @@
 var (
 	links          = []string{"callers", "store", "peers", "replica"}
 	accessFaults   = []string{"operator-key", "operator-key-outage", "link-cloud-delay", "link-cloud-reset", "link-cloud-drop-up", "link-cloud-drop-down", "link-cloud-silence", "link-cloud-refuse"}
+	oddFaults      = []string{"replica-endless", "store-odd-objects"}
 	linkFaults     = []string{"delay", "reset", "drop-up", "drop-down", "silence", "refuse"}
 	processFaults  = []string{"term", "kill", "kill-twice", "freeze", "kill-all", "roll"}
 	storeFaults    = []string{"outage", "slow", "lossy", "refuse-writes", "forget", "silent-watches"}
@@ -45,9 +46,9 @@
 )
 
 // FaultKinds returns all kinds of faults.
-func FaultKinds() []string { return append(baseFaults(), accessFaults...) }
+func FaultKinds() []string { return append(append(baseFaults(), accessFaults...), oddFaults...) }
 
-// baseFaults returns all kinds but accessFaults. Plans of older seeds depend on their number.
+// baseFaults returns all kinds but accessFaults and oddFaults. Plans of older seeds depend on their number.
 func baseFaults() []string {
 	var kinds []string
 	for _, link := range links {
@@ -68,14 +69,16 @@
 	warmUp             = time.Second // before the first fault
 	faultsPerSecond    = 1.2         // mean rate at which baseFaults begin, repeated faults not counted
 	accessPerSecond    = 0.5         // mean rate at which accessFaults begin
+	oddPerSecond       = 0.2         // mean rate at which oddFaults begin
 	faultDurationRange = 4 * time.Second
 )
 
 // GeneratePlan generates the plan that the seed determines. Faults may overlap and repeat. The
-// accessFaults have their own random numbers, so that older seeds keep their other faults.
+// accessFaults and the oddFaults have their own random numbers, so that older seeds keep their other faults.
 func GeneratePlan(o Options) []Fault {
 	plan := generateSeries(o, rand.New(rand.NewPCG(o.Seed, 0x50a4)), baseFaults(), faultsPerSecond)
 	plan = append(plan, generateSeries(o, rand.New(rand.NewPCG(o.Seed, 0x50a5)), accessFaults, accessPerSecond)...)
+	plan = append(plan, generateSeries(o, rand.New(rand.NewPCG(o.Seed, 0x50a6)), oddFaults, oddPerSecond)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].StartOffset < plan[j].StartOffset })
 	return plan
 }
