--- a/edge/settings.go
+++ b/edge/settings.go
@@ -120,7 +120,7 @@
 			inifile.Required(inifile.Name("region", "Region of this instance.", func(s *Settings) *string { return &s.Region })),
 			inifile.Required(inifile.Name("failure_domain", "Failure domain of this instance.", func(s *Settings) *string { return &s.FailureDomain })),
 			inifile.Key("seeds", "list of IP:port, separated by commas", "", "addresses", "Peer addresses of some daemons, used until the store responds.", setSeeds, func(s *Settings) string { return s.Seeds }),
-			inifile.Int("memory", "MB", 0, 0, 1<<20, "Memory of the process; the garbage collector keeps the process below it. 0 for no limit.", func(s *Settings) *int { return &s.MemoryMB }),
+			inifile.Int("memory", "MB", 0, 0, 1<<20, "Memory of the process; the garbage collector keeps the process below it. A sixteenth of it, at least 4 MB, is for each of these: buffered responses, unfinished completions, answers of the store. 0 for no limit of the process, and 32 MB for each of them.", func(s *Settings) *int { return &s.MemoryMB }),
 			inifile.Float("cores", "cores", 0, 0, 1024, "Processor time of the instance, as a decimal fraction; batches are run by the larger instances of a fleet. 0 if unknown.", func(s *Settings) *float64 { return &s.Cores }),
 			inifile.Duration("stop_time", 8*time.Second, minDuration, maxDuration, "Longest duration of a planned stop.", func(s *Settings) *time.Duration { return &s.StopTime }),
 		},
