--- a/gateway/buffer_test.go
+++ b/gateway/buffer_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 
+	"github.com/hornbeamtide/hornbeamtide/catalog"
 	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
@@ -100,3 +102,64 @@
 		t.Errorf("%d bytes are charged at the end", used)
 	}
 }
+
+// endlessStream is the body of a stream that never ends. It counts what was read.
+type endlessStream struct{ read *atomic.Int64 }
+
+// Read implements io.Reader.
+func (s endlessStream) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = '\n'
+	}
+	s.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// streamingBackend responds to each call with an endless stream.
+type streamingBackend struct{ read *atomic.Int64 }
+
+// Send implements upstream.Backend.
+func (b streamingBackend) Send(context.Context, upstream.Call) (*upstream.Response, error) {
+	return &upstream.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(endlessStream(b)), Length: -1, Signed: true}, nil
+}
+
+// Events implements upstream.Backend.
+func (streamingBackend) Events(*upstream.Response) upstream.EventReader { return nil }
+
+// blockedCaller reads nothing; its connection breaks when it is released.
+type blockedCaller struct {
+	*slowCaller
+}
+
+// Write implements http.ResponseWriter.
+func (c blockedCaller) Write([]byte) (int, error) {
+	c.waiting.Done()
+	<-c.release
+	return 0, io.ErrClosedPipe
+}
+
+// Guards against streams without end to callers that read nothing: no more than a buffer of each is read.
+func TestEndlessStreamsAreReadOnlyAsFastAsCallersRead(t *testing.T) {
+	const callers = 64
+	var read atomic.Int64
+	g := New(streamingBackend{&read}, testTracker(3), noGuard{}, nil, nil)
+	route := testRoute("chat")
+	route.Kind, route.Timeout = catalog.Streaming, 0
+	var waiting, all sync.WaitGroup
+	release := make(chan struct{})
+	waiting.Add(callers)
+	for range callers {
+		all.Go(func() {
+			defer func() { _ = recover() }() // the handler ends the connection with http.ErrAbortHandler
+			caller := blockedCaller{&slowCaller{header: http.Header{}, waiting: &waiting, release: release}}
+			_ = g.Forward(t.Context(), caller, route, Request{ID: "x", Target: "/x"})
+			t.Error("the stream ended")
+		})
+	}
+	waiting.Wait()
+	if got := read.Load(); got > callers*streamBuffer {
+		t.Errorf("%d bytes were read for %d callers", got, callers)
+	}
+	close(release)
+	all.Wait()
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +19,8 @@
 const (
 	testTimeout  = 20 * time.Second
 	testProgress = 300 * time.Millisecond
+	// largeResponse is the size of the response to "large", over the 4 MiB of a message.
+	largeResponse = 64 << 20
 )
 
 // message is the request and response of the test service; messageEncoding is its codec.
@@ -40,6 +44,8 @@
 // response beyond the progress timeout.
 func (e *echoService) Call(ctx context.Context, in *message) (*message, error) {
 	switch in.value {
+	case "large":
+		return &message{value: strings.Repeat("x", largeResponse)}, nil
 	case "panic":
 		var missing *message
 		return &message{value: missing.value}, nil
@@ -317,3 +323,23 @@
 		t.Errorf("call on a closed pool: %v, outcome %q", err, fault.OutcomeOf(err))
 	}
 }
+
+// Guards against a daemon that another one fills the memory of: a response over the largest message ends
+// the call before it is read, and the next call is answered.
+func TestOversizedResponseIsNotRead(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f.mustCall(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if got, err := f.call(ctx, "large"); err == nil {
+		t.Errorf("a response of %d bytes was read", len(got))
+	}
+	runtime.ReadMemStats(&after)
+	// The server in this process holds the response, its encoding and a copy.
+	if grown := int64(after.TotalAlloc) - int64(before.TotalAlloc); grown > 3*largeResponse+largeResponse/2 {
+		t.Errorf("%d MiB were allocated", grown>>20)
+	}
+	f.mustCall(t)
+}
