dispatch: a sample has a bound on the product's own interface too

Cause: bytes without end, the same on a related path: chunks of a sample were collected whatever the sample may have. Change: a sample ends with an error once it has more tokens than asked for, or more than 256 bytes for each of them (64 MiB if none are named); another replica generates it.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -167,6 +167,26 @@
 			return "", fault.New(fault.Overloaded, lease.Replica.ID+" is several times slower than its pool",
 				"generate the sample on another replica", fault.WithOutcome(fault.Unknown))
 		}
+		if r.MaxTokens > 0 && reader.tokens > r.MaxTokens || text.Len()+len(chunk.Text) > maxTextBytes(r.MaxTokens) {
+			return "", backendError(fault.Truncated, lease.Replica.ID+" sent more than the sample may have")
+		}
 		text.WriteString(chunk.Text)
 	}
 }
+
+const (
+	// maxTokenBytes is more than the text of a token takes on average over a sample, and minTextBytes is
+	// allowed to any sample: single tokens may be longer.
+	maxTokenBytes = 256
+	minTextBytes  = 16 << 10
+)
+
+// maxTextBytes returns the longest text of a sample. Load pattern: an engine that sends well-formed chunks
+// without end, with or without counting tokens.
+func maxTextBytes(maxTokens int) int {
+	const largest = 64 << 20 // of any sample
+	if maxTokens <= 0 || maxTokens > largest/maxTokenBytes {
+		return largest
+	}
+	return max(maxTokens*maxTokenBytes, minTextBytes)
+}
