batch: an end that no replica has generated is not taken

The completion counted as complete, with text that no sound replica ever produced. Change: if a replica has nothing to add to the events of another one, the completion starts over, once for each item: a stream may also break right before its end.

--- a/batch/item.go
+++ b/batch/item.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// errEndNotConfirmed means that a replica has nothing to add to the events of another one whose stream
+// broke off. The first one may have sent more than the completion has, so that no replica would ever end it
+// where it ends. The completion starts over, but only once: a stream may also break right before its end.
+var errEndNotConfirmed = fault.New(fault.Truncated, "the replica has no event after those of another one", "start the completion over")
+
 // errItemFailed means that the replica rejected the item or that its attempts are used up.
 var errItemFailed = fault.New(fault.Invalid, "the item failed and is not retried", "correct the item")
 
@@ -132,7 +137,7 @@
 	switch {
 	case err == nil:
 		lease.Done(placement.Answered, nil, timePerEvent)
-	case errors.Is(err, errWeightsTooOld), errors.Is(err, errTextMemory):
+	case errors.Is(err, errWeightsTooOld), errors.Is(err, errTextMemory), errors.Is(err, errEndNotConfirmed):
 		lease.Done(placement.Inconclusive, nil, 0)
 	default:
 		return r.recordFailure(s, err, timePerEvent)
@@ -209,6 +214,11 @@
 			if len(completion.Events) == 0 {
 				return fault.New(fault.Truncated, "the stream ended without an event", "try another replica")
 			}
+			if int64(len(completion.Events)) < firstID && !s.task.startedOver {
+				s.task.startedOver = true
+				s.reset()
+				return errEndNotConfirmed
+			}
 			s.markComplete()
 			return nil
 		}
--- a/batch/run.go
+++ b/batch/run.go
@@ -41,6 +41,8 @@
 	moves     int             // times it left a replica as a straggler
 	timeouts  int             // times a replica sent no event in time
 	startedAt time.Time       // when it was first placed
+
+	startedOver bool // see errEndNotConfirmed
 }
 
 // start runs a batch and resumes from the given completions of its unfinished items.
--- a/batch/text_limit_test.go
+++ b/batch/text_limit_test.go
@@ -21,6 +21,7 @@
 	endless map[string]bool
 	data    string
 	sent    *atomic.Int64 // events read from endless replicas
+	silent  bool          // other replicas end their streams without an event
 }
 
 // Send implements upstream.Backend.
@@ -35,7 +36,7 @@
 func (b endlessBackend) Events(resp *upstream.Response) upstream.EventReader {
 	var after int64
 	_, _ = fmt.Sscan(resp.Header.Get("After"), &after)
-	return &endlessEvents{backend: b, id: after, endless: b.endless[resp.Header.Get("Replica")]}
+	return &endlessEvents{backend: b, id: after, endless: b.endless[resp.Header.Get("Replica")], sent: b.silent}
 }
 
 type endlessEvents struct {
@@ -120,3 +121,31 @@
 		}
 	}
 }
+
+// Guards against a completion with text that no replica ends (found by the soak, seed 7129): a faulty
+// replica goes on after the last event, its stream breaks off, and the next replica has nothing to add. The
+// completion starts over, but only once: a stream may also break right before its end.
+func TestEndThatNoReplicaHasGeneratedIsNotTaken(t *testing.T) {
+	m := runManager(nil, 0)
+	r := &run{Manager: m, ctx: t.Context(), job: Job{Host: "h"}, failures: map[string]int{}, textHolders: map[string]*connlimit.Holder{}}
+	item := &Item{ID: "i", Path: "/x"}
+	task := &task{item: item}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	resume := func(events []string, sound endlessBackend) (error, Completion) {
+		m.backend = sound
+		s := &completionStream{task: task, completion: Completion{Events: events, Versions: []int64{1}}, text: r.textHolder(item), textLimit: textLimit(item)}
+		resp, err := sound.Send(t.Context(), upstream.Call{ResumeAfter: int64(len(events))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.readEvents(s, resp, timer), s.completion
+	}
+	silent := endlessBackend{silent: true}
+	if err, c := resume([]string{"a", "b", "too much"}, silent); err != errEndNotConfirmed || len(c.Events) != 0 || c.Complete {
+		t.Errorf("the first time: %v, %+v", err, c)
+	}
+	if err, c := resume([]string{"a", "b"}, silent); err != nil || len(c.Events) != 2 || !c.Complete {
+		t.Errorf("the second time: %v, %+v", err, c)
+	}
+}
