gateway: a connection that breaks at once has run no request

Change: only a connection that breaks 5 ms after the attempt began, or later, counts. The test of counting lets its broken request run for that long, and has rows for connections that break at once.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,6 +16,10 @@
 	"github.com/hornbeamtide/hornbeamtide/upstream"
 )
 
+// minRunTime is the time from the start of an attempt from which a connection that breaks counts as broken
+// while the request ran. One that is refused or was closed before breaks within a round trip.
+const minRunTime = 5 * time.Millisecond
+
 // tryReplica sends the request to one replica. served is true if the caller got its
 // response.
 func (p *pendingRequest) tryReplica(ctx context.Context, w http.ResponseWriter, lease *placement.Lease) (served bool, err error) {
@@ -38,7 +42,7 @@
 		p.logBrokenConnection(lease, err, time.Since(started))
 		p.recordBreak(lease, err)
 		var broken *upstream.BrokenError
-		if errors.As(err, &broken) {
+		if errors.As(err, &broken) && time.Since(started) >= minRunTime {
 			p.countRun(started) // the replica received the request, so it most likely began to run it
 		}
 		p.countAttempt(fault.OutcomeOf(err) == fault.NotRun)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -105,9 +105,13 @@
 	full := func() (*upstream.Response, error) {
 		return &upstream.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), NotRun: true}, nil
 	}
-	broken := func() (*upstream.Response, error) {
+	brokenAtOnce := func() (*upstream.Response, error) {
 		return nil, fault.Wrap(&upstream.BrokenError{Sends: 1, Cause: io.EOF}, fault.Unavailable, "broken", "")
 	}
+	broken := func() (*upstream.Response, error) {
+		time.Sleep(minRunTime) // the replica was running the request
+		return brokenAtOnce()
+	}
 	for name, row := range map[string]struct {
 		calls scriptedBackend
 		want  int
@@ -116,6 +120,8 @@
 		"failed, then answered":        {scriptedBackend{failed, answer}, 1},
 		"broken, then answered":        {scriptedBackend{broken, answer}, 1},
 		"broken, then full":            {scriptedBackend{broken, full, full}, 1},
+		"refused by the connection":    {scriptedBackend{brokenAtOnce, full, full}, 0},
+		"refused, then answered":       {scriptedBackend{brokenAtOnce, answer}, 1},
 		"full everywhere":              {scriptedBackend{full, full, full}, 0},
 		"full, then answered by other": {scriptedBackend{full, answer}, 1},
 	} {
