--- a/batch/text_limit_test.go
+++ b/batch/text_limit_test.go
@@ -132,20 +132,21 @@
 	task := &task{item: item}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	resume := func(events []string, sound endlessBackend) (error, Completion) {
+	resume := func(events []string, sound endlessBackend) (Completion, error) {
 		m.backend = sound
 		s := &completionStream{task: task, completion: Completion{Events: events, Versions: []int64{1}}, text: r.textHolder(item), textLimit: textLimit(item)}
 		resp, err := sound.Send(t.Context(), upstream.Call{ResumeAfter: int64(len(events))})
 		if err != nil {
 			t.Fatal(err)
 		}
-		return r.readEvents(s, resp, timer), s.completion
+		err = r.readEvents(s, resp, timer)
+		return s.completion, err
 	}
 	silent := endlessBackend{silent: true}
-	if err, c := resume([]string{"a", "b", "too much"}, silent); err != errEndNotConfirmed || len(c.Events) != 0 || c.Complete {
+	if c, err := resume([]string{"a", "b", "too much"}, silent); err != errEndNotConfirmed || len(c.Events) != 0 || c.Complete {
 		t.Errorf("the first time: %v, %+v", err, c)
 	}
-	if err, c := resume([]string{"a", "b"}, silent); err != nil || len(c.Events) != 2 || !c.Complete {
+	if c, err := resume([]string{"a", "b"}, silent); err != nil || len(c.Events) != 2 || !c.Complete {
 		t.Errorf("the second time: %v, %+v", err, c)
 	}
 }
