--- a/review/rig-2/calls.go
+++ b/review/rig-2/calls.go
@@ -33,7 +33,7 @@
 	r.store.PutSpec("config/main", encode(obj{
 		"Version": version, "Routes": routes,
 		"Services": []obj{
-			{"Name": pool, "HealthPath": "/health", "MaxConns": 140, "Protocol": "h1", "Tls": false, "Engine": obj{"Slots": 8, "KvCacheTokens": 45164, "Models": []obj{{"Name": "m0"}}}},
+			{"Name": pool, "HealthPath": "/health", "MaxConns": 140, "Protocol": "h1", "Tls": false, "Engine": obj{"Slots": 8, "KvCacheTokens": r.kvTokens, "Models": []obj{{"Name": "m0"}}}},
 			{"Name": desk, "HealthPath": "/health", "MaxConns": 110, "Protocol": "h1", "Tls": false},
 		},
 		"Limits": obj{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
--- a/review/rig-2/long.go
+++ b/review/rig-2/long.go
@@ -32,6 +32,7 @@
 	text := func(id string, n int) string {
 		return fmt.Sprintf("%s-%04d %s", id, n, strings.Repeat("x", tokensPerEvent*size))
 	}
+	r.kvTokens = 89884 // of ksfh-tide
 	r.configure(1, route("r-lots", "rollout", "/lots/", pool))
 	for i := range 4 {
 		p := &replica{id: fmt.Sprint("i-pool", i), service: pool, zone: "a", model: "m0"}
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -75,7 +75,7 @@
 	switch req.URL.Path {
 	case "/hornbeamtide/report":
 		p.mu.Lock()
-		report := obj{"Stage": "both", "Models": []obj{{"Name": p.model, "Version": p.version, "Adapters": []string{}}}, "Busy": false, "Seq": p.seq, "NumWaiting": 0, "NumRunning": 0, "KvUsed": 0, "KvTotal": 45164, "Handles": 0}
+		report := obj{"Stage": "both", "Models": []obj{{"Name": p.model, "Version": p.version, "Adapters": []string{}}}, "Busy": false, "Seq": p.seq, "NumWaiting": 0, "NumRunning": 0, "KvUsed": 0, "KvTotal": p.rig.kvTokens, "Handles": 0}
 		p.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(encode(report))
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -25,12 +25,13 @@
 
 // rig holds the processes and stand-ins of one case.
 type rig struct {
-	program string // of the daemon
-	dir     string // temporary folder
-	start   time.Time
-	store   *fakeplatform.Server
-	host    string // loopback address of this run
-	port    int    // last port that was given out
+	program  string // of the daemon
+	dir      string // temporary folder
+	start    time.Time
+	store    *fakeplatform.Server
+	kvTokens int    // memory of a model replica
+	host     string // loopback address of this run
+	port     int    // last port that was given out
 
 	mu     sync.Mutex
 	record io.Writer
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{program: os.Getenv("DAEMON"), dir: dir, start: time.Now(), store: fakeplatform.New(fakeplatform.Config{}), record: record}
+	r := &rig{program: os.Getenv("DAEMON"), dir: dir, start: time.Now(), kvTokens: 45164, store: fakeplatform.New(fakeplatform.Config{}), record: record}
 	// A host address of its own and ports below the ephemeral range, so that no other connection takes
 	// a port between its choice and its use.
 	r.host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
