--- a/review/rig-2/freeze.go
+++ b/review/rig-2/freeze.go
@@ -17,9 +17,11 @@
 	contact     = 3 * time.Second // ContactMs
 	frozenTime  = 3500 * time.Millisecond
 	rounds      = 9
+	// frozenMachines is the number of entry machines that are frozen at a time, of eight.
+	frozenMachines = 2
 )
 
-// playFreeze freezes half of the entry machines while the operator adds a route, and asks the others for
+// playFreeze freezes two of eight entry machines while the operator adds a route, and asks the others for
 // that route. None of them may answer 404 to a request that was sent later than ConfigApplyMs after the
 // confirmation.
 func playFreeze(r *rig, trouble bool) int {
@@ -111,13 +113,12 @@
 	return calls
 }
 
-// split returns half of the entry machines, first those that have read the platform's list since, and the
-// other half.
+// split returns the entry machines that have read the platform's list most often since, and the others.
 func (r *rig) split(before map[*edge]int64) (first, rest []*edge) {
 	ordered, now := append([]*edge(nil), r.edges...), r.watchCalls()
 	rand.Shuffle(len(ordered), func(a, b int) { ordered[a], ordered[b] = ordered[b], ordered[a] })
 	sort.SliceStable(ordered, func(a, b int) bool {
 		return now[ordered[a]]-before[ordered[a]] > now[ordered[b]]-before[ordered[b]]
 	})
-	return ordered[:len(ordered)/2], ordered[len(ordered)/2:]
+	return ordered[:frozenMachines], ordered[frozenMachines:]
 }
