Review: stand-ins of cases 8 and 9 stay within the sheet

They now take 0.568 ms a token, and the text is markup that counts more once encoded. In case 8 a trainer's first two steps were less than 4 s apart, and the memory counted the pages of the program.

--- a/review/rig-2/long.go
+++ b/review/rig-2/long.go
@@ -14,25 +14,25 @@
 func init() { cases["long"] = playLong }
 
 const (
-	longEvents     = 900 // events of a text
-	tokensPerEvent = 96  // an event may have several tokens
-	longToken      = 6   // bytes of a token
-	usualToken     = 2
+	longEvents     = 400                    // events of a text
+	tokensPerEvent = 110                    // an event may have several tokens
+	tokenTime      = 568 * time.Microsecond // the shortest step of an engine of conchilla-hub
+	markupToken    = "<p>"
+	plainToken     = "abc"
 )
 
-// playLong submits items with long texts. An item that its replica has completed must be listed as completed,
-// with its whole text.
+// playLong submits items with long texts, of markup or, without the trouble, of letters. An item whose text a
+// replica has sent to its end must be listed as completed, with its whole text.
 func playLong(r *rig, trouble bool) int {
-	size := usualToken
+	token := plainToken
 	if trouble {
-		size = longToken
+		token = markupToken
 	}
 	var mu sync.Mutex
 	finished, failed := map[string]int{}, map[string]int{}
 	text := func(id string, n int) string {
-		return fmt.Sprintf("%s-%04d %s", id, n, strings.Repeat("x", tokensPerEvent*size))
+		return fmt.Sprintf("%s-%04d %s", id, n, strings.Repeat(token, tokensPerEvent))
 	}
-	r.kvTokens = 89884 // of ksfh-tide
 	r.configure(1, route("r-lots", "rollout", "/lots/", pool))
 	for i := range 4 {
 		p := &replica{id: fmt.Sprint("i-pool", i), service: pool, zone: "a", model: "m0"}
@@ -50,7 +50,7 @@
 					return true
 				}
 				_ = flush.Flush()
-				time.Sleep(time.Millisecond)
+				time.Sleep(tokensPerEvent * tokenTime)
 			}
 			mu.Lock()
 			finished[id]++
@@ -63,7 +63,7 @@
 		r.note("%v", err)
 		return 2
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 55*time.Second)
 	defer cancel()
 	const id, itemCount = "lot-long", 4
 	tokens := longEvents * tokensPerEvent
--- a/review/rig-2/memory.go
+++ b/review/rig-2/memory.go
@@ -49,9 +49,9 @@
 	// The platform chooses the daemon by a hash of the requester: two trainers each at two daemons.
 	for t := range 4 {
 		group.Go(func() {
+			time.Sleep(time.Duration(t) * stepInterval / 4)
 			clockwork := time.NewTicker(stepInterval)
 			defer clockwork.Stop()
-			time.Sleep(time.Duration(t) * stepInterval / 4)
 			for step := 0; ctx.Err() == nil; step++ {
 				group.Go(func() { r.playStep(ctx, t, step, 4*(t%2), size) })
 				select {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -228,14 +228,14 @@
 	return fmt.Errorf("%s is not ready", e.id)
 }
 
-// residentMB returns the memory of the process in MB.
+// residentMB returns the memory of the process in MB, without the pages of its program file.
 func (e *edge) residentMB() int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for _, line := range strings.Split(string(text), "\n") {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(value)[0])
 			return kb / 1024
 		}
