httpclient: a reset during an upload no longer looks like the end of the answer

Callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, framed with a length that the daemon had counted.

Cause: the system reports a reset to the first call after it only. While an upload is being written that is mostly the write; the read beside it then gets a plain EOF, and an answer without a length ends with its connection.

Change: connections know whether the current request is written. An EOF after bytes of an answer is the end of that answer only if the request was written and no write failed; otherwise it is an unexpected EOF, which all readers treat as a truncated answer. A read that gets an EOF while the request is being written waits for the write, at most 1 s: a server may end its answer orderly and still read the rest of the upload, and such an answer is whole.

Why it works: whichever call gets the reset, either the read fails itself or the write fails, and the write's result is known before the EOF is passed on.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, tests, demos and measurements. Needs only Go and make.
 
-MODULES := fault event connlimit measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror gossip quarantine ratelimit relay roster placement organisation lease usage duty gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
+MODULES := fault event connlimit httpclient measure objectapi clock catalog upstream document platform backend peer fleet routing admission claims dispatch rollout weights mirror gossip quarantine ratelimit relay roster placement organisation lease usage duty gateway batch waves edge trace alarm daemon cmd/hornbeamtide standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
 .PHONY: build test race check format vet lint demo bench slopes generate
--- a/backend/client.go
+++ b/backend/client.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/hornbeamtide/hornbeamtide/event"
+	"github.com/hornbeamtide/hornbeamtide/httpclient"
 )
 
 const (
@@ -62,7 +63,7 @@
 	address   string
 	timeouts  Timeouts
 	log       *event.Logger
-	transport *http.Transport
+	transport httpclient.Transport
 	counters  *counters
 
 	openConns       atomic.Int64
@@ -71,11 +72,11 @@
 
 func newServer(address string, timeouts Timeouts, log *event.Logger, counters *counters) *server {
 	s := &server{address: address, timeouts: timeouts, log: log, counters: counters}
-	s.transport = &http.Transport{
+	s.transport = httpclient.Transport{Transport: &http.Transport{
 		DialContext:            s.dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
 		DisableCompression:     true,
-	}
+	}}
 	return s
 }
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/httpclient"
 )
 
 // keepAliveInterval is the time between two TCP keep-alive probes.
@@ -38,6 +39,9 @@
 	return n, err
 }
 
+// NetConn returns the underlying connection.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // closeForWrites closes the connection and returns the number of bytes written to it.
 // Nothing is written after it returns.
 func (c *countingConn) closeForWrites() int64 {
@@ -63,7 +67,7 @@
 // dial opens a countingConn.
 func (s *server) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: s.timeouts.Connect, KeepAlive: keepAliveInterval}
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := httpclient.Dial(dialer.DialContext)(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/standin/oddserver/oddserver.go
@@ -0,0 +1,96 @@
+// Package oddserver is a fake backend server that writes bytes of a test's choice as its responses and ends
+// its connections in a chosen way.
+package oddserver
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Responder responds to a request of which the server has read only the head; the body of r is the rest. The
+// connection is closed if it returns false.
+type Responder func(conn *net.TCPConn, r *http.Request) (keepOpen bool)
+
+// Server is the fake server.
+type Server struct {
+	listener net.Listener
+	respond  Responder
+	requests atomic.Int64
+}
+
+// Start starts a server on a free loopback port.
+func Start(respond Responder) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: listener, respond: respond}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return s, nil
+}
+
+// Close stops the server. Its connections stay open until their clients close them.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+// Address returns the server's host:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Requests returns the number of requests so far.
+func (s *Server) Requests() int64 { return s.requests.Load() }
+
+func (s *Server) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	for reader := bufio.NewReader(conn); ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !s.respond(conn, r) {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+}
+
+// Reset ends a connection with a reset.
+func Reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// CloseUnread ends a connection orderly although a request is still being written to it. The system then
+// resets it.
+func CloseUnread(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_ = conn.Close()
+}
+
+// CloseAfterRequest ends the response and closes the connection once the request has been received.
+func CloseAfterRequest(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// StopReading ends the response and leaves the connection open for the given time without reading the
+// request.
+func StopReading(idle time.Duration) func(conn *net.TCPConn) {
+	return func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		time.Sleep(idle)
+	}
+}
