httpclient: an answer whose status can't be one is a failure of its server

Callers saw: a replica in trouble sent an answer with status 000. A caller's connection was closed with no answer at all, also where the request could be sent to another replica, and an item of a step was listed as completed with the odd server's text.

Cause: net/http takes any number of three characters for a status, below 100 and above 599 too, and returns a 101 that nobody asked for. The gateway passed it to the caller's ResponseWriter, which panics below 100; the request was not tried again and its replica counted as one that answers. For items, scores and orders "below 300" counted as success or, for orders, anything unknown as a refusal.

Change: httpclient.Transport fails a request whose response has a status outside 200 to 599, like net/http does with other malformed heads, and closes the connection. All HTTP clients use it now, also the daemons' calls to each other for alarms and the operator's commands. So the request counts as one of unknown outcome, the replica as failed: what may be repeated goes elsewhere, the rest gets 502. Writes to the store fail as ambiguous, no more as a defect of the program.

Why it works: no reader sees such a response any more; each has handled failed requests before.

--- a/cmd/hornbeamtide/client.go
+++ b/cmd/hornbeamtide/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/daemon"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/httpclient"
 )
 
 // Limits of a call to a daemon.
@@ -35,8 +36,7 @@
 	for name := range header {
 		request.Header.Set(name, header.Get(name))
 	}
-	client := http.Client{Timeout: callTimeout}
-	response, err := client.Do(request)
+	response, err := httpclient.NewClient(callTimeout).Do(request)
 	if err != nil {
 		return daemonResponse{}, fault.Wrap(err, fault.Unavailable, "no response from "+r.Address, "name another daemon with --address")
 	}
--- a/daemon/regional_alarms.go
+++ b/daemon/regional_alarms.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/alarm"
 	"github.com/hornbeamtide/hornbeamtide/fleet"
+	"github.com/hornbeamtide/hornbeamtide/httpclient"
 )
 
 // Limits on the collection of a region's alarms.
@@ -38,7 +39,7 @@
 	all := RegionalAlarms{Alarms: d.ownAlarms(), UnresponsiveDaemons: []string{}}
 	ctx, cancel := context.WithTimeout(ctx, memberCallsTimeout)
 	defer cancel()
-	client := &http.Client{Timeout: memberCallTimeout}
+	client := httpclient.NewClient(memberCallTimeout)
 	defer client.CloseIdleConnections()
 	var (
 		mu        sync.Mutex
--- a/standin/oddserver/oddserver.go
+++ b/standin/oddserver/oddserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,10 +12,31 @@
 	"time"
 )
 
+// InvalidHeads are beginnings of heads that no response may have and that net/http accepts.
+var InvalidHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 None\r\n",
+	"status 099": "HTTP/1.1 099 None\r\n",
+	"status +99": "HTTP/1.1 +99 None\r\n",
+	"status 101": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n", // to no offer
+	"status 600": "HTTP/1.1 600 None\r\n",
+	"status 999": "HTTP/1.1 999 None\r\n",
+}
+
 // Responder responds to a request of which the server has read only the head; the body of r is the rest. The
 // connection is closed if it returns false.
 type Responder func(conn *net.TCPConn, r *http.Request) (keepOpen bool)
 
+// Respond returns a Responder that reads the request and sends head, the headers and a body with its length.
+func Respond(head string, header func(r *http.Request) string, body string) Responder {
+	return func(conn *net.TCPConn, r *http.Request) bool {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return false
+		}
+		_, err := fmt.Fprintf(conn, "%s%sContent-Length: %d\r\n\r\n%s", head, header(r), len(body), body)
+		return err == nil
+	}
+}
+
 // Server is the fake server.
 type Server struct {
 	listener net.Listener
