httpclient: an answer with a blank in a header name is a failure of its server

Callers saw: a replica in trouble sent an answer in whose head the name of a field held a blank. The body reached the caller and the step's result as an answer, that line dropped. Where the field was meant for the framing ("Transfer-Encoding : chunked", "Content-Length : 5"), the body was not the one that the replica meant.

Cause: net/http keeps header names with a blank, which it does not take for the header they look like, so that a broken head passes. Control bytes in names it refuses.

Change: httpclient.Transport, which already decides which statuses a response may have, fails a request whose response has such a name.

Rows that held before and stay: a tab, a control, null or delete byte in a name, a line without a name, a blank before the first name. A line that begins with a blank after another one continues that one by the protocol and is still accepted.

Why it works: the check is at the one place through which all responses come.

--- a/httpclient/transport.go
+++ b/httpclient/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 )
 
@@ -62,5 +63,11 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fmt.Errorf("invalid response: status %03d", resp.StatusCode)
 	}
+	for name := range resp.Header {
+		// net/http refuses all other characters that a name may not have.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("invalid response: header name %q", name)
+		}
+	}
 	return nil
 }
--- a/standin/oddserver/oddserver.go
+++ b/standin/oddserver/oddserver.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// InvalidHeads are beginnings of heads that no response may have and that net/http accepts.
+// InvalidHeads are beginnings of heads that no response may have. net/http accepts most of them.
 var InvalidHeads = map[string]string{
 	"status 000": "HTTP/1.1 000 None\r\n",
 	"status 099": "HTTP/1.1 099 None\r\n",
@@ -20,6 +20,18 @@
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n", // to no offer
 	"status 600": "HTTP/1.1 600 None\r\n",
 	"status 999": "HTTP/1.1 999 None\r\n",
+
+	"blank in a name":              "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+	"blank at the end of a name":   "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
+	"blank before the first name":  "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n",
+	"blank in the name of framing": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"tab in a name":                "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n",
+	"control byte in a name":       "HTTP/1.1 200 OK\r\nX-\x01Odd: 1\r\n",
+	"null byte in a name":          "HTTP/1.1 200 OK\r\nX-Odd\x00: 1\r\n",
+	"delete byte in a name":        "HTTP/1.1 200 OK\r\nX-\x7fOdd: 1\r\n",
+	"line without a name":          "HTTP/1.1 200 OK\r\n: 1\r\n",
+	"blank in a name, failure":     "HTTP/1.1 500 Failed\r\nX Odd: 1\r\n",
+	"blank in a name, refusal":     "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX Odd: 1\r\n",
 }
 
 // Responder responds to a request of which the server has read only the head; the body of r is the rest. The
