batch: a score is asked of another server after an answer without one

Callers saw: a step did not end although sound scoring servers were idle.

Cause: a scoring server that answered, but with no score (a 200 without signature, a 404, a 502), was not among those to avoid at the next attempt, and counted as one that answers. Such answers are fast, so the same server was chosen again every 50 ms. Callers' requests have counted an unsigned success as a failure of its replica before.

Change: each server that gave no score is avoided until all were asked, and an unsigned success counts as a failure of its replica for scores and items too.

Why it works: the next attempt goes to a server that was not asked, and a sound one is among them.

--- a/batch/item.go
+++ b/batch/item.go
@@ -166,8 +166,11 @@
 }
 
 func responseOutcome(resp *upstream.Response) placement.Outcome {
-	if resp.NotRun {
+	switch {
+	case resp.NotRun:
 		return placement.Refused
+	case resp.Status < 300 && !resp.Signed:
+		return placement.Failed
 	}
 	return placement.Answered
 }
--- a/batch/score.go
+++ b/batch/score.go
@@ -72,7 +72,7 @@
 }
 
 // scoreOnce makes one attempt. It returns the score, or whether a server responded that the
-// request failed. tried holds the servers that did not respond.
+// request failed. tried holds the servers that gave no score.
 func (r *run) scoreOnce(s *Scorer, tried map[string]bool) (score, server string, failed bool) {
 	route, service := r.scoringService(s)
 	if route == nil {
@@ -123,6 +123,7 @@
 	if resp.Status < 300 && resp.Signed {
 		return resp.Score, lease.ID, false
 	}
+	tried[lease.ID] = true
 	r.logScoreFailure(s, lease, fault.New(fault.Unavailable, "the scoring server responded with status "+strconv.Itoa(resp.Status), "try another server"))
 	return "", lease.ID, resp.Status == http.StatusInternalServerError
 }
--- a/edge/batch_test.go
+++ b/edge/batch_test.go
@@ -422,3 +422,26 @@
 		t.Error("no item ran on the slow replica")
 	}
 }
+
+// Guards against a step that hangs beside sound servers: a scoring server answers fast, but with no score, so that
+// it is chosen again and again.
+func TestScoresComeFromAnotherServerThanOneWithoutThem(t *testing.T) {
+	t.Parallel()
+	for name, faults := range map[string]fakereplica.Faults{
+		"unsigned":  {Unsigned: true},
+		"not found": {Status: http.StatusNotFound},
+		"failed":    {Status: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestSystem(t, 1)
+			s.plainReplicas[0].SetFaults(faults)
+			for _, slow := range s.plainReplicas[1:] {
+				slow.SetFaults(fakereplica.Faults{Delay: 200 * time.Millisecond})
+			}
+			body, ids := batchBody(8, 1)
+			s.daemons[0].call("POST", itemPath+"x", "lot-1", body)
+			s.checkComplete(s.readAll(s.daemons[0], "lot-1"), ids)
+		})
+	}
+}
