--- a/edge/odd_response_test.go
+++ b/edge/odd_response_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/hornbeamtide/hornbeamtide/standin/oddserver"
@@ -14,32 +15,46 @@
 // oddText marks bodies of odd servers.
 const oddText = "odd text"
 
-// respondOddly returns a responder with the given head. The rest is what a sound server would send, also to
-// a request for a report.
-func respondOddly(head string) oddserver.Responder {
+// signedHeader returns the headers of a signed response besides those of framing. The signature shows that the
+// server is odd.
+func signedHeader(r *http.Request) string {
+	id := r.Header.Get("Request-Id")
+	return fmt.Sprintf("Request-Id: %s\r\nServer-Stamp: odd-stamp-%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n", id, id)
+}
+
+// oddServer is a server whose reports are sound and whose other responses are not.
+type oddServer struct {
+	*oddserver.Server
+
+	key      string       // of its store entry
+	requests atomic.Int64 // other than for reports
+}
+
+func (s *testSystem) startOddServer(respond oddserver.Responder) *oddServer {
+	s.t.Helper()
+	odd := &oddServer{}
 	report := oddserver.Respond("HTTP/1.1 200 OK\r\n", func(*http.Request) string { return "" }, fmt.Sprintf(`{"Models":[{"Name":%q,"Version":1}]}`, testModel))
-	odd := oddserver.Respond(head, func(r *http.Request) string {
-		id := r.Header.Get("Request-Id")
-		return fmt.Sprintf("Request-Id: %s\r\nServer-Stamp: stamp-%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n", id, id)
-	}, "id: 1\ndata: "+oddText+"\n\n")
-	return func(conn *net.TCPConn, r *http.Request) bool {
+	server, err := oddserver.Start(func(conn *net.TCPConn, r *http.Request) bool {
 		if strings.HasPrefix(r.URL.Path, "/hornbeamtide/") {
 			return report(conn, r)
 		}
-		return odd(conn, r)
+		odd.requests.Add(1)
+		return respond(conn, r)
+	})
+	if err != nil {
+		s.t.Fatal(err)
 	}
+	s.t.Cleanup(server.Close)
+	odd.Server = server
+	return odd
 }
 
-// startOddServers starts two odd servers of each service.
-func (s *testSystem) startOddServers(head string) (servers []*oddserver.Server) {
+// startOddServers starts a server of each service for each responder, besides the three sound ones.
+func (s *testSystem) startOddServers(responders ...oddserver.Responder) (servers []*oddServer) {
 	s.t.Helper()
 	for _, service := range []string{modelPool, plainPool} {
-		for i := range 2 {
-			server, err := oddserver.Start(respondOddly(head))
-			if err != nil {
-				s.t.Fatal(err)
-			}
-			s.t.Cleanup(server.Close)
+		for i, respond := range responders {
+			server := s.startOddServer(respond)
 			entry := map[string]any{"Backend": service, "Address": server.Address(), "Zone": "a", "Slots": 8, "State": "ready", "born": 1}
 			if service == modelPool {
 				entry["Models"] = []map[string]any{{"Name": testModel, "Version": 1}}
@@ -48,21 +63,38 @@
 			if err != nil {
 				s.t.Fatal(err)
 			}
-			s.store.PutSpec(fmt.Sprintf("servers/odd-%s-%d", service, i), text)
+			server.key = fmt.Sprintf("servers/odd-%s-%d", service, i)
+			s.store.PutSpec(server.key, text)
 			servers = append(servers, server)
 		}
 	}
+	s.awaitServers(3 + len(responders))
+	return servers
+}
+
+// removeOddServers removes all servers of startOddServers.
+func (s *testSystem) removeOddServers(servers []*oddServer) {
+	s.t.Helper()
+	for _, server := range servers {
+		s.store.Remove(server.key)
+		server.Close()
+	}
+	s.awaitServers(3)
+}
+
+// awaitServers waits until all daemons know the given number of servers of each service.
+func (s *testSystem) awaitServers(n int) {
+	s.t.Helper()
 	for _, d := range s.daemons {
-		s.eventually("the odd servers are known", func() bool {
-			return len(d.Tracker.Replicas(modelPool)) == 5 && len(d.Tracker.Replicas(plainPool)) == 5
+		s.eventually("the servers are known", func() bool {
+			return len(d.Tracker.Replicas(modelPool)) == n && len(d.Tracker.Replicas(plainPool)) == n
 		})
 	}
-	return servers
 }
 
-func totalRequests(servers []*oddserver.Server) (total int64) {
+func totalRequests(servers []*oddServer) (total int64) {
 	for _, server := range servers {
-		total += server.Requests()
+		total += server.requests.Load()
 	}
 	return total
 }
@@ -76,7 +108,8 @@
 			t.Parallel()
 			const requests = 24
 			s := newTestSystem(t, 2)
-			servers := s.startOddServers(head)
+			odd := oddserver.Respond(head, signedHeader, "id: 1\ndata: "+oddText+"\n\n")
+			servers := s.startOddServers(odd, odd)
 			served := map[string]int{}
 			for i := range requests {
 				for _, path := range []string{plainPath, nonIdempotentPath, streamPath} {
--- a/standin/oddserver/oddserver.go
+++ b/standin/oddserver/oddserver.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
@@ -53,7 +52,6 @@
 type Server struct {
 	listener net.Listener
 	respond  Responder
-	requests atomic.Int64
 }
 
 // Start starts a server on a free loopback port.
@@ -81,9 +79,6 @@
 // Address returns the server's host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Requests returns the number of requests so far.
-func (s *Server) Requests() int64 { return s.requests.Load() }
-
 func (s *Server) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	for reader := bufio.NewReader(conn); ; {
@@ -91,7 +86,6 @@
 		if err != nil {
 			return
 		}
-		s.requests.Add(1)
 		if !s.respond(conn, r) {
 			return
 		}
