--- a/httpclient/conn.go
+++ b/httpclient/conn.go
@@ -14,9 +14,9 @@
 // server that has responded may still read the request, so as not to reset the connection.
 const maxUploadWait = time.Second
 
-// ErrRequestNotTaken is the error of a read at the end of a connection whose server did not take the whole
+// errRequestNotTaken is the error of a read at the end of a connection whose server did not take the whole
 // request. It wraps io.ErrUnexpectedEOF.
-var ErrRequestNotTaken = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
+var errRequestNotTaken = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
 
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -100,7 +100,7 @@
 		c.mu.Unlock()
 	}
 	if errors.Is(err, io.EOF) && !c.awaitWritten() {
-		return n, ErrRequestNotTaken
+		return n, errRequestNotTaken
 	}
 	return n, err
 }
