--- a/httpclient/conn.go
+++ b/httpclient/conn.go
@@ -38,12 +38,12 @@
 type conn struct {
 	net.Conn
 
-	mu        sync.Mutex
-	isPending bool          // the current request is not completely written
-	isWriting bool          // a write is in progress
-	isBroken  bool          // a write failed, or the connection was closed
-	responded bool          // a byte was read since the current request got the connection
-	changed   chan struct{} // closed at the next change if a read waits for one, else nil
+	mu          sync.Mutex
+	isPending   bool          // the current request is not completely written
+	isWriting   bool          // a write is in progress; the last one ends after isPending does
+	isBroken    bool          // a write failed, or the connection was closed here
+	hasResponse bool          // a byte was read since the current request got the connection
+	changed     chan struct{} // closed at the next change if a read waits for one, else nil
 }
 
 // unwrap returns the *conn below c, nil if there is none.
@@ -71,7 +71,7 @@
 	}
 }
 
-func (c *conn) beginRequest() { c.update(func() { c.isPending, c.responded = true, false }) }
+func (c *conn) beginRequest() { c.update(func() { c.isPending, c.hasResponse = true, false }) }
 
 func (c *conn) endRequest(err error) {
 	c.update(func() { c.isPending, c.isBroken = false, c.isBroken || err != nil })
@@ -96,31 +96,32 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
-		c.responded = true
+		c.hasResponse = true
 		c.mu.Unlock()
 	}
-	if errors.Is(err, io.EOF) && !c.awaitWritten() {
+	if errors.Is(err, io.EOF) && !c.isOrderlyEnd() {
 		return n, errRequestNotTaken
 	}
 	return n, err
 }
 
-// awaitWritten waits until the current request is written, if its response has begun. It reports false if a
-// write failed or takes too long.
-func (c *conn) awaitWritten() bool {
+// isOrderlyEnd reports whether the end of the connection may be the end of a response. If one has begun it
+// waits for the request to be written, and reports false if that fails or takes too long. Without one, the
+// end is an error for net/http anyway.
+func (c *conn) isOrderlyEnd() bool {
 	timeout := time.NewTimer(maxUploadWait)
 	defer timeout.Stop()
 	for {
 		c.mu.Lock()
-		isWritten := !c.responded || !c.isPending && !c.isWriting && !c.isBroken
-		isUndecided := !isWritten && !c.isBroken
-		if isUndecided && c.changed == nil {
+		isOrderly := !c.hasResponse || !c.isBroken
+		isKnown := !c.hasResponse || c.isBroken || !c.isPending && !c.isWriting
+		if !isKnown && c.changed == nil {
 			c.changed = make(chan struct{})
 		}
 		changed := c.changed
 		c.mu.Unlock()
-		if !isUndecided {
-			return isWritten
+		if isKnown {
+			return isOrderly
 		}
 		select {
 		case <-changed:
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -62,15 +62,15 @@
 // requests per second.
 var ErrRateLimited = fault.New(fault.Overloaded, "the replica's request limit is used up", "send it again later", fault.WithOutcome(fault.NotRun))
 
-// BrokenError means that a connection broke after a request was written to it and before the head
-// of a response arrived. The replica may have ended.
+// BrokenError means that no valid head of a response arrived after a request was written, most often since
+// the connection broke. The replica may have ended.
 type BrokenError struct {
 	Sends int // number of connections to which the request was written
 	Cause error
 }
 
 func (e *BrokenError) Error() string {
-	return "connection broken after the request was sent: " + e.Cause.Error()
+	return "no valid response after the request was sent: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
