httpclient: an orderly end waits as long as the request makes progress

The wait was bounded by 1 s in all, so that an early answer whose server goes on reading a long upload over a slow network would have been taken for a broken one. It is now bounded by 1 s without a write that ends; the request's deadline closes the connection as before.

--- a/httpclient/conn.go
+++ b/httpclient/conn.go
@@ -10,9 +10,9 @@
 	"time"
 )
 
-// maxUploadWait limits how long the end of a response waits for the rest of its request to be written. A
-// server that has responded may still read the request, so as not to reset the connection.
-const maxUploadWait = time.Second
+// maxUploadStall limits how long the end of a response waits for its request to be written while no write
+// ends. A server that has responded may still read the request, so as not to reset the connection.
+const maxUploadStall = time.Second
 
 // errRequestNotTaken is the error of a read at the end of a connection whose server did not take the whole
 // request. It wraps io.ErrUnexpectedEOF.
@@ -106,11 +106,11 @@
 }
 
 // isOrderlyEnd reports whether the end of the connection may be the end of a response. If one has begun it
-// waits for the request to be written, and reports false if that fails or takes too long. Without one, the
-// end is an error for net/http anyway.
+// waits for the request to be written, and reports false if that fails or makes no progress. Without one,
+// the end is an error for net/http anyway.
 func (c *conn) isOrderlyEnd() bool {
-	timeout := time.NewTimer(maxUploadWait)
-	defer timeout.Stop()
+	stall := time.NewTimer(maxUploadStall)
+	defer stall.Stop()
 	for {
 		c.mu.Lock()
 		isOrderly := !c.hasResponse || !c.isBroken
@@ -125,7 +125,8 @@
 		}
 		select {
 		case <-changed:
-		case <-timeout.C:
+			stall.Reset(maxUploadStall)
+		case <-stall.C:
 			return false
 		}
 	}
