httpclient: an answer of another HTTP version is a failure of its server

Not reported; found when the statuses were looked at, in the same status line: net/http takes any digits for the version of a response, and a 200 of HTTP/0.9 or HTTP/2.0 to a request with HTTP/1.1 was passed on as an answer. HTTP/1.0 stays valid.

The check is beside those of the status and the header names, through which all responses come.

--- a/httpclient/transport.go
+++ b/httpclient/transport.go
@@ -60,6 +60,9 @@
 
 // validate returns an error for a response that breaks the protocol.
 func validate(resp *http.Response) error {
+	if resp.ProtoMajor != 1 { // requests are sent with HTTP/1.1
+		return fmt.Errorf("invalid response: version %s", resp.Proto)
+	}
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fmt.Errorf("invalid response: status %03d", resp.StatusCode)
 	}
--- a/standin/oddserver/oddserver.go
+++ b/standin/oddserver/oddserver.go
@@ -20,6 +20,9 @@
 	"status 600": "HTTP/1.1 600 None\r\n",
 	"status 999": "HTTP/1.1 999 None\r\n",
 
+	"version 0.9": "HTTP/0.9 200 OK\r\n",
+	"version 2.0": "HTTP/2.0 200 OK\r\n",
+
 	"blank in a name":              "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
 	"blank at the end of a name":   "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
 	"blank before the first name":  "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n",
