--- a/backend/odd_response_test.go
+++ b/backend/odd_response_test.go
@@ -15,7 +15,7 @@
 	for name, head := range oddserver.InvalidHeads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server, err := oddserver.Start(oddserver.Respond(head, func(*http.Request) string { return "" }, "{}"))
+			server, err := oddserver.Start(oddserver.Respond(head, nil, "{}"))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/edge/broken_answer_test.go
+++ b/edge/broken_answer_test.go
@@ -38,30 +38,20 @@
 	}
 }
 
-// cutHead returns a responder that sends a part of a head and closes the connection.
-func cutHead(head string) oddserver.Responder {
-	return func(conn *net.TCPConn, r *http.Request) bool {
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(conn, head)
-		return false
-	}
-}
-
 // Guards against items and scores that take anything of a broken answer: the streams of odd servers break off
 // before, within and after events, and the answers of others are errors with a text, or heads that break off.
 // All items must be completed by the sound servers, with their whole text.
 func TestItemsAndScoresTakeNothingOfBrokenAnswers(t *testing.T) {
 	t.Parallel()
-	noHeader := func(*http.Request) string { return "" }
 	responders := map[string]oddserver.Responder{
 		"signed error":                  oddserver.Respond("HTTP/1.1 502 Failed\r\n", signedHeader, oddText),
-		"error":                         oddserver.Respond("HTTP/1.1 404 Failed\r\n", noHeader, oddText),
+		"error":                         oddserver.Respond("HTTP/1.1 404 Failed\r\n", nil, oddText),
 		"invalid status":                oddserver.Respond("HTTP/1.1 000 None\r\n", signedHeader, oddText),
-		"unsigned success":              oddserver.Respond("HTTP/1.1 200 OK\r\n", noHeader, "id: 1\ndata: "+oddText+"\n\n"),
-		"head cut off in its status":    cutHead("HTTP/1.1 200"),
-		"head cut off after its status": cutHead("HTTP/1.1 200 OK\r\n"),
-		"head cut off in a header":      cutHead("HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Len"),
-		"head cut off after a header":   cutHead("HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Length: 0\r\n"),
+		"unsigned success":              oddserver.Respond("HTTP/1.1 200 OK\r\n", nil, "id: 1\ndata: "+oddText+"\n\n"),
+		"head cut off in its status":    oddserver.CutHead("HTTP/1.1 200", oddserver.Close),
+		"head cut off after its status": oddserver.CutHead("HTTP/1.1 200 OK\r\n", oddserver.Close),
+		"head cut off in a header":      oddserver.CutHead("HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Len", oddserver.Close),
+		"head cut off after a header":   oddserver.CutHead("HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Length: 0\r\n", oddserver.Close),
 	}
 	for _, framing := range []string{"", "Content-Length: 100000\r\n", "Transfer-Encoding: chunked\r\n"} {
 		for _, events := range []int{0, 2} {
--- a/edge/odd_response_test.go
+++ b/edge/odd_response_test.go
@@ -33,7 +33,7 @@
 func (s *testSystem) startOddServer(respond oddserver.Responder) *oddServer {
 	s.t.Helper()
 	odd := &oddServer{}
-	report := oddserver.Respond("HTTP/1.1 200 OK\r\n", func(*http.Request) string { return "" }, fmt.Sprintf(`{"Models":[{"Name":%q,"Version":1}]}`, testModel))
+	report := oddserver.Respond("HTTP/1.1 200 OK\r\n", nil, fmt.Sprintf(`{"Models":[{"Name":%q,"Version":1}]}`, testModel))
 	server, err := oddserver.Start(func(conn *net.TCPConn, r *http.Request) bool {
 		if strings.HasPrefix(r.URL.Path, "/hornbeamtide/") {
 			return report(conn, r)
--- a/standin/oddserver/oddserver.go
+++ b/standin/oddserver/oddserver.go
@@ -40,17 +40,32 @@
 // connection is closed if it returns false.
 type Responder func(conn *net.TCPConn, r *http.Request) (keepOpen bool)
 
-// Respond returns a Responder that reads the request and sends head, the headers and a body with its length.
+// Respond returns a Responder that reads the request and sends head, the headers, if any, and a body with
+// its length. header may be nil.
 func Respond(head string, header func(r *http.Request) string, body string) Responder {
 	return func(conn *net.TCPConn, r *http.Request) bool {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return false
 		}
-		_, err := fmt.Fprintf(conn, "%s%sContent-Length: %d\r\n\r\n%s", head, header(r), len(body), body)
+		headers := ""
+		if header != nil {
+			headers = header(r)
+		}
+		_, err := fmt.Fprintf(conn, "%s%sContent-Length: %d\r\n\r\n%s", head, headers, len(body), body)
 		return err == nil
 	}
 }
 
+// CutHead returns a Responder that reads the request, sends a part of a head and ends the connection with end.
+func CutHead(part string, end func(conn *net.TCPConn)) Responder {
+	return func(conn *net.TCPConn, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, part)
+		end(conn)
+		return false
+	}
+}
+
 // Server is the fake server.
 type Server struct {
 	listener net.Listener
@@ -98,6 +113,9 @@
 	}
 }
 
+// Close closes a connection whose request was read.
+func Close(conn *net.TCPConn) { _ = conn.Close() }
+
 // Reset ends a connection with a reset.
 func Reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0)
