edge/crowdtest: daemons listen on a host address of their own

TestSilentConnections, known red, had failed the same way once.

Cause: the harness asked the system for a free port, closed it and gave it to the daemon. Until the daemon bound it, any other process could get it, and even the harness itself: in one of the failures two addresses of the same daemon were equal.

Change: the harness takes its addresses from the allocator of standin/cluster, which was made for this and gives each allocator a host of its own in 127.0.0.0/8. The checks are the same.

--- a/edge/crowdtest/harness_test.go
+++ b/edge/crowdtest/harness_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamtide/hornbeamtide/standin/cluster"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakeplatform"
 	"github.com/hornbeamtide/hornbeamtide/standin/fakereplica"
 )
@@ -88,8 +89,12 @@
 	store.PutSpec("config/main", configuration)
 
 	d := &daemon{t: t, ended: make(chan struct{}), stopSampling: make(chan struct{}), sampled: make(chan struct{})}
+	addresses := cluster.NewAddressAllocator()
 	for _, address := range []*string{&d.front, &d.ready, &d.peer, &d.metric} {
-		*address = freeAddress(t)
+		var err error
+		if *address, err = addresses.Allocate(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	dir := t.TempDir()
 	d.log = filepath.Join(dir, "log")
@@ -125,15 +130,6 @@
 	return d
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (d *daemon) eventually(check func() error) error {
 	var err error
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(sampleTime) {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -32,7 +32,7 @@
 
 	daemonProgram  string
 	standinProgram string
-	addresses      addressAllocator
+	addresses      *AddressAllocator
 	mu             sync.Mutex
 	processes      []*Process
 	client         *http.Client
@@ -47,7 +47,7 @@
 	}
 	return &Cluster{
 		Dir: dir, daemonProgram: daemonProgram, standinProgram: standinProgram,
-		client: &http.Client{Timeout: 5 * time.Second}, addresses: newAddressAllocator(),
+		client: &http.Client{Timeout: 5 * time.Second}, addresses: NewAddressAllocator(),
 	}, nil
 }
 
@@ -109,7 +109,7 @@
 }
 
 func (c *Cluster) startFake(ctx context.Context, name, command, readyPath string, args ...string) (*Process, error) {
-	address, err := c.addresses.allocate()
+	address, err := c.addresses.Allocate()
 	if err != nil {
 		return nil, err
 	}
@@ -159,11 +159,11 @@
 // StartDaemon adds a daemon to the platform's instance list, starts it and waits until its
 // HTTP interface responds.
 func (c *Cluster) StartDaemon(ctx context.Context, config DaemonConfig) (*Process, error) {
-	address, err := c.addresses.allocate()
+	address, err := c.addresses.Allocate()
 	if err != nil {
 		return nil, err
 	}
-	peerAddress, err := c.addresses.allocate()
+	peerAddress, err := c.addresses.Allocate()
 	if err != nil {
 		return nil, err
 	}
--- a/standin/cluster/edge.go
+++ b/standin/cluster/edge.go
@@ -25,7 +25,7 @@
 func (c *Cluster) StartEdgeDaemon(id, storeAddress, domain, seeds, extraSettings string) (*EdgeDaemon, error) {
 	var allocated [3]string
 	for i := range allocated {
-		address, err := c.addresses.allocate()
+		address, err := c.addresses.Allocate()
 		if err != nil {
 			return nil, err
 		}
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -104,23 +104,24 @@
 	fmt.Fprintf(w, "--- %s (exited %v)\n%s\n", p.Name, p.Exited(), bytes.Join(all, []byte("\n")))
 }
 
-// addressAllocator allocates loopback addresses, each at most once. Each allocator has its own
+// AddressAllocator allocates loopback addresses, each at most once. Each allocator has its own
 // host address, because clusters of other processes allocate ports at the same time: on a shared
 // host address, a port could be taken between its allocation and its use.
-type addressAllocator struct {
+type AddressAllocator struct {
 	host      string // in 127.0.0.0/8
 	mu        sync.Mutex
 	allocated map[string]bool
 }
 
-func newAddressAllocator() addressAllocator {
+// NewAddressAllocator returns an allocator of addresses of a random host.
+func NewAddressAllocator() *AddressAllocator {
 	_, _ = os.FindProcess(os.Getpid()) // Go forks once, without ForkLock, at the first use of a process handle
 	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	return addressAllocator{host: host, allocated: map[string]bool{}}
+	return &AddressAllocator{host: host, allocated: map[string]bool{}}
 }
 
-// allocate returns a loopback address with a free port.
-func (a *addressAllocator) allocate() (string, error) {
+// Allocate returns a loopback address with a free port.
+func (a *AddressAllocator) Allocate() (string, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for range 1000 {
--- a/standin/cluster/process_test.go
+++ b/standin/cluster/process_test.go
@@ -20,7 +20,7 @@
 		}
 		defer c.Close(false)
 		for range perCluster {
-			address, err := c.addresses.allocate()
+			address, err := c.addresses.Allocate()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -51,9 +51,9 @@
 	}
 	defer starters.Wait()
 	defer close(stop)
-	addresses := newAddressAllocator()
+	addresses := NewAddressAllocator()
 	for range 3000 {
-		address, err := addresses.allocate()
+		address, err := addresses.Allocate()
 		if err != nil {
 			t.Fatal(err)
 		}
