--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-var cases = map[string]func(*rig) int{"end": playEnd, "memory": playMemory}
+var cases = map[string]func(*rig) int{"end": playEnd, "memory": playMemory, "stale": playStale}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -314,3 +315,11 @@
 	}
 	return 0
 }
+
+// env returns a number from the environment, for trials.
+func env(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
