--- a/review/rig3/denied.go
+++ b/review/rig3/denied.go
@@ -15,6 +15,10 @@
 	deniedItems = 320  // 20 groups of 16
 	meanReward  = 600  // bytes of a reward call, the mean of the site file
 	maxReward   = 3600 // and their largest size there
+	sheetBody   = 600  // bytes of an item, the mean of the site file
+
+	stepEvery = 4 * time.Second  // as on the sheets
+	stepLimit = 12 * time.Second // time limit of the sheets
 )
 
 // scoredBatchBody returns a batch submission of items with reward calls.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-var cases = map[string]func(*rig) int{"end": playEnd, "memory": playMemory, "stale": playStale, "denied": playDenied, "errored": playErrored}
+var cases = map[string]func(*rig) int{"end": playEnd, "denied": playDenied}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
