--- a/review/rig3/denied.go
+++ b/review/rig3/denied.go
@@ -57,6 +57,7 @@
 		r.say("%v", err)
 		return noPlay
 	}
+	time.Sleep(4 * time.Second) // ContactMs of the site: the machines are in touch from here on
 	denied, other := 0, 0
 	for step := range deniedSteps {
 		next := time.Now().Add(stepEvery)
