Charge large submissions with what is held of them

Cause: the budget for bodies counted a submission once, by its bytes on the wire. It stood in memory up to five times: in the parts in which it was read, joined, decoded, encoded as a whole to see whether it fits into the head, and in all of its parts. Its items stayed uncharged until 150 s after the start of the batch, also after its end.

Items are released when the run ends or all are listed. A takeover without room waits and gets the room before new large bodies.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeamtide/hornbeamtide/clock"
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
 )
@@ -13,11 +14,17 @@
 const (
 	storeRetryDelay   = 150 * time.Millisecond // delay between write attempts; doubled up to maxRetryDoublings times
 	maxRetryDoublings = 2
+
+	// smallPartBytes is the size up to which a part is written beside any number of others. Of the larger ones
+	// maxLargeWrites are: each is held several times while it is encoded and sent.
+	smallPartBytes = 128 << 10
+	maxLargeWrites = 2
 )
 
 // Accept stores a batch. A nil error means that the batch is stored and will run. An error with
-// outcome fault.NotRun means that no part of it runs or ever will.
-func (m *Manager) Accept(ctx context.Context, job Job) error {
+// outcome fault.NotRun means that no part of it runs or ever will. memory holds the memory of its items; if
+// the batch runs on this daemon, that is left with an empty holder and the run has the bytes.
+func (m *Manager) Accept(ctx context.Context, job Job, memory *connlimit.Holder) error {
 	if err := job.Validate(); err != nil {
 		return err
 	}
@@ -34,14 +41,14 @@
 		// below finds the stored batch; if that write fails too, the outcome is unknown.
 		mayBeStored = fault.OutcomeOf(err) != fault.NotRun
 	}
-	return m.acceptLocally(ctx, job, mayBeStored)
+	return m.acceptLocally(ctx, job, memory, mayBeStored)
 }
 
 // acceptLocally stores a batch that this daemon will run. mayBeStored means that another daemon
 // may have stored it already.
-func (m *Manager) acceptLocally(ctx context.Context, job Job, mayBeStored bool) error {
+func (m *Manager) acceptLocally(ctx context.Context, job Job, memory *connlimit.Holder, mayBeStored bool) error {
 	job.Owner, job.AcceptedAt = m.self, time.Now()
-	a := &acceptance{Manager: m, job: job, mayBeStored: mayBeStored}
+	a := &acceptance{Manager: m, job: job, memory: memory, mayBeStored: mayBeStored}
 	return a.run(ctx)
 }
 
@@ -84,7 +91,9 @@
 	*Manager
 
 	job         Job
-	mayBeStored bool // a write may have taken effect or may do so later
+	memory      *connlimit.Holder // of the items
+	storedParts int               // parts that the store has
+	mayBeStored bool              // a write may have taken effect or may do so later
 }
 
 func (a *acceptance) run(ctx context.Context) error {
@@ -112,20 +121,15 @@
 
 // write makes one attempt to store the batch. An existing object means that it was accepted before.
 func (a *acceptance) write(ctx context.Context) (bool, error) {
-	head, parts, err := a.job.encode()
-	if err != nil {
-		return false, err
-	}
-	for i, part := range parts {
-		_, err := a.store.Create(ctx, partKey(a.job.ID, i), part)
-		if fault.Is(err, fault.Conflict) {
-			err = a.checkPart(ctx, i, part)
-		}
-		if err != nil {
+	a.job.Parts = 0
+	head, hasItems := a.job.encodeHead()
+	if !hasItems {
+		if err := a.writeParts(ctx); err != nil {
 			return false, err // parts without a head are ignored
 		}
+		a.job.Parts = a.storedParts
+		head, _ = a.job.encodeHead()
 	}
-	a.job.Parts = len(parts)
 	created, err := a.store.Create(ctx, jobKey(a.job.ID), head)
 	switch {
 	case err == nil:
@@ -143,6 +147,36 @@
 	return false, err
 }
 
+// writeParts stores the parts that the store does not have yet.
+func (a *acceptance) writeParts(ctx context.Context) error {
+	for n, part := range a.job.parts() {
+		if n < a.storedParts {
+			continue
+		}
+		if err := a.writePart(ctx, n, part); err != nil {
+			return err
+		}
+		a.storedParts = n + 1
+	}
+	return nil
+}
+
+func (a *acceptance) writePart(ctx context.Context, n int, part []byte) error {
+	if len(part) > smallPartBytes {
+		select {
+		case a.largeWrites <- struct{}{}:
+			defer func() { <-a.largeWrites }()
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.Canceled, "no time was left to store it", "")
+		}
+	}
+	_, err := a.store.Create(ctx, partKey(a.job.ID, n), part)
+	if fault.Is(err, fault.Conflict) {
+		return a.checkPart(ctx, n, part)
+	}
+	return err
+}
+
 // checkPart returns an error if a part that is stored already has other items. Failure: another
 // organisation submitted a batch with the same ID and stored only its parts; their items must not run
 // for this one.
@@ -163,6 +197,6 @@
 	defer a.mu.Unlock()
 	b := a.addBatch(a.job)
 	if b.run == nil && !b.starting && !b.ended && !a.draining {
-		b.run = a.start(a.job, b.log, a.carriedOver(a.job))
+		b.run = a.start(a.job, b.log, a.carriedOver(a.job), a.memory.Transfer())
 	}
 }
--- a/batch/accept_test.go
+++ b/batch/accept_test.go
@@ -55,7 +55,7 @@
 			Mirror: mirror.New(mirror.Config{Kinds: []mirror.Kind{{Name: KindBatches}, {Name: KindBatchEnds}}}, store, nil, nil, nil),
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
-		err := m.acceptLocally(ctx, Job{ID: "b", Items: []Item{{ID: "i", Path: "/x"}}}, row.mayBeStored)
+		err := m.acceptLocally(ctx, Job{ID: "b", Items: []Item{{ID: "i", Path: "/x"}}}, m.itemMemory.Holder(0), row.mayBeStored)
 		cancel()
 		if got := fault.OutcomeOf(err) == fault.NotRun; err == nil || got != row.notRun {
 			t.Errorf("%s: got outcome not run = %v, error %v", row.name, got, err)
@@ -82,7 +82,7 @@
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		err := m.acceptLocally(ctx, Job{ID: "b", Items: []Item{{ID: "i", Path: "/x"}}}, row.mayBeStored)
+		err := m.acceptLocally(ctx, Job{ID: "b", Items: []Item{{ID: "i", Path: "/x"}}}, m.itemMemory.Holder(0), row.mayBeStored)
 		if err == nil || fault.OutcomeOf(err) != row.want {
 			t.Errorf("%s: got outcome %v, want %v: %v", row.name, fault.OutcomeOf(err), row.want, err)
 		}
@@ -114,13 +114,13 @@
 	south := newDrainManager(headlessStore{store})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	if err := south.acceptLocally(ctx, job("south"), false); fault.OutcomeOf(err) != fault.NotRun {
+	if err := south.acceptLocally(ctx, job("south"), south.itemMemory.Holder(0), false); fault.OutcomeOf(err) != fault.NotRun {
 		t.Fatalf("submission without a head: %v", err)
 	}
 	north := newDrainManager(store)
 	northCtx, cancelNorth := context.WithTimeout(t.Context(), time.Second)
 	defer cancelNorth()
-	if err := north.acceptLocally(northCtx, job("north"), false); err != nil {
+	if err := north.acceptLocally(northCtx, job("north"), north.itemMemory.Holder(0), false); err != nil {
 		return // refused
 	}
 	reader := newDrainManager(store)
@@ -129,7 +129,7 @@
 		t.Fatal(err)
 	}
 	head := reader.jobOf(b)
-	items, err := reader.items(t.Context(), head)
+	items, err := reader.loadItems(t.Context(), head, reader.itemMemory.Holder(0))
 	if err != nil || head.Organisation != "north" || items[0].Body[0] != 'n' {
 		t.Errorf("the batch of %s has the items of %c, error %v", head.Organisation, items[0].Body[0], err)
 	}
--- a/batch/drain.go
+++ b/batch/drain.go
@@ -76,7 +76,7 @@
 	m.mu.Lock()
 	b.run = nil
 	m.mu.Unlock()
-	if r.results.confirmedCount() >= len(r.job.Items) {
+	if r.results.confirmedCount() >= r.job.total() {
 		return
 	}
 	value, err := encodeHandOver(completions)
--- a/batch/drain_test.go
+++ b/batch/drain_test.go
@@ -82,7 +82,7 @@
 func TestHandOverKeepsResultsThatAreNotStored(t *testing.T) {
 	job := Job{ID: "b", Items: []Item{{ID: "i1", Group: "g", Path: "/x", Scorer: &Scorer{ID: "s"}}, {ID: "i2", Group: "g", Path: "/x"}}}
 	from := newDrainManager(memstore.New())
-	r := from.start(job, newResultLog("b", from.store, nil), nil)
+	r := from.start(job, newResultLog("b", from.store, nil), nil, from.itemMemory.Holder(0))
 	r.setCompletion("i1", Completion{Events: []string{"a", "b"}, Versions: []int64{3}, Complete: true})
 	r.finish(&job.Items[0], Result{ID: "i1", State: Completed, Output: "a\nb", Versions: []int64{3}, Score: "score"})
 	r.recordItemFailure("i2")
@@ -93,7 +93,7 @@
 
 	to := newDrainManager(memstore.New())
 	log := newResultLog("b", to.store, nil)
-	resumed := to.start(job, log, completions)
+	resumed := to.start(job, log, completions, to.itemMemory.Holder(0))
 	defer resumed.stop()
 	for end := time.Now().Add(10 * time.Second); log.confirmedCount() == 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -204,7 +204,7 @@
 	m.members = func() map[string]string { return map[string]string{"d": "1", "e": "2", "f": "3"} }
 	job := Job{ID: "b", Owner: "d", Items: []Item{{ID: "i", Path: "/x"}}}
 	b := &batchState{job: job, log: newResultLog("b", m.store, nil)}
-	b.run = m.start(job, b.log, nil)
+	b.run = m.start(job, b.log, nil, m.itemMemory.Holder(0))
 	m.handOver(t.Context(), b)
 	if len(requests) != 2 || !requests[0].Settled || requests[1].Settled {
 		t.Errorf("requests %v; want the first settled and the second not", requests)
--- a/batch/guard_test.go
+++ b/batch/guard_test.go
@@ -46,7 +46,7 @@
 func TestPanicOfOneItemFailsOnlyThatItem(t *testing.T) {
 	m := runManager(panickingBackend{items: map[string]bool{"bad": true}}, 1)
 	job := Job{ID: "b", Host: "h", Items: []Item{{ID: "bad", Group: "1", Path: "/x"}, {ID: "good", Group: "2", Path: "/x"}}}
-	r := m.start(job, newResultLog("b", m.store, nil), nil)
+	r := m.start(job, newResultLog("b", m.store, nil), nil, m.itemMemory.Holder(0))
 	defer r.stop()
 	deadline := time.Now().Add(10 * time.Second)
 	for !r.results.hasResult("bad") && time.Now().Before(deadline) {
--- a/batch/items.go
+++ b/batch/items.go
@@ -5,27 +5,55 @@
 	"encoding/json"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
+	"github.com/hornbeamtide/hornbeamtide/connlimit"
+	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
-// items returns a batch's items, read from its parts if the head does not hold them.
-func (m *Manager) items(ctx context.Context, job Job) ([]Item, error) {
+// partMemory is what a part takes while it is read and decoded, beside its items.
+const partMemory = 4 * objectapi.MaxValueBytes
+
+// loadItems returns a batch's items, read from its parts if the head does not hold them. It takes their memory
+// before it reads them.
+func (m *Manager) loadItems(ctx context.Context, job Job, memory *connlimit.Holder) ([]Item, error) {
+	size := job.itemMemory()
+	if len(job.Items) == 0 {
+		size += partMemory
+	}
+	if !memory.Take(size) {
+		m.log.Log(event.BatchTakeoverDeferred, event.F("batch", job.ID), event.F("bytes", size))
+		return nil, fault.New(fault.Overloaded, "the memory for batches is used up", "take the batch over later", fault.WithOutcome(fault.NotRun))
+	}
 	if len(job.Items) > 0 {
 		return job.Items, nil
 	}
-	var items []Item
+	items := make([]Item, 0, job.total())
+	err := m.readItems(ctx, job, func(item *Item) bool {
+		items = append(items, *item)
+		return true
+	})
+	return items, err
+}
+
+// readItems calls f for each item in the parts of a batch until f returns false. It holds one part at a time.
+func (m *Manager) readItems(ctx context.Context, job Job, f func(*Item) bool) error {
 	for i := range job.Parts {
 		o, err := m.store.Get(ctx, partKey(job.ID, i))
 		if err != nil {
-			return nil, storeUnavailable(err)
+			return storeUnavailable(err)
 		}
 		part, err := decodeItems(o.Value)
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "items of batch "+job.ID+" can't be decoded", "report this defect")
+			return fault.Wrap(err, fault.Internal, "items of batch "+job.ID+" can't be decoded", "report this defect")
+		}
+		for k := range part {
+			if !f(&part[k]) {
+				return nil
+			}
 		}
-		items = append(items, part...)
 	}
-	return items, nil
+	return nil
 }
 
 // Body returns the request body of an item.
@@ -40,12 +68,17 @@
 			return body, nil
 		}
 	}
-	items, err := m.items(ctx, job)
-	if err != nil {
-		return nil, err
+	body, found := bodyOf(job.Items, item)
+	if !found {
+		err = m.readItems(ctx, job, func(stored *Item) bool {
+			if found = stored.ID == item; found {
+				body = stored.Body
+			}
+			return !found
+		})
 	}
-	if body, ok := bodyOf(items, item); ok {
-		return body, nil
+	if err != nil || found {
+		return body, err
 	}
 	return nil, fault.New(fault.NotFound, "unknown item "+item, "check its id")
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -7,8 +7,10 @@
 package batch
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"strings"
 	"time"
 
@@ -38,9 +40,10 @@
 	MinVersion     int64     `json:"min_version"` // oldest weight version that may generate its tokens
 	GroupCount     int       `json:"group_count"` // groups that the trainer waits for
 	Items          []Item    `json:"items,omitempty"`
-	Parts          int       `json:"parts,omitempty"` // number of objects that hold the items, 0 if Items holds them
-	Total          int       `json:"total,omitempty"` // number of items in the parts
-	ExpectedTokens float64   `json:"work,omitempty"`  // expected output tokens of all items
+	Parts          int       `json:"parts,omitempty"`       // number of objects that hold the items, 0 if Items holds them
+	Total          int       `json:"total,omitempty"`       // number of items in the parts
+	ItemMemory     int64     `json:"item_memory,omitempty"` // of the items in the parts, see Item.Memory; 0 if a daemon of an earlier version stored them
+	ExpectedTokens float64   `json:"work,omitempty"`        // expected output tokens of all items
 	// Organisation is the one that submitted the batch and for which its items run, "" for none.
 	Organisation string `json:"organisation,omitempty"`
 }
@@ -53,6 +56,24 @@
 	return len(j.Items)
 }
 
+// withoutItems returns the job without its items, whose number it keeps.
+func (j Job) withoutItems() Job {
+	j.Total, j.Items = j.total(), nil
+	return j
+}
+
+// itemMemory returns the memory of the job's items, an upper bound if they are not known.
+func (j Job) itemMemory() int64 {
+	if len(j.Items) == 0 {
+		return cmp.Or(j.ItemMemory, int64(j.Parts)*objectapi.MaxValueBytes)
+	}
+	size := int64(0)
+	for i := range j.Items {
+		size += j.Items[i].Memory()
+	}
+	return size
+}
+
 // Item is one sample to generate.
 type Item struct {
 	ID             string              `json:"id"`
@@ -73,6 +94,27 @@
 	Body []byte `json:"body"`
 }
 
+const (
+	itemOverhead   = 720 // bytes of an item, its header map and its task
+	headerOverhead = 120 // bytes of a header in the map
+	scorerOverhead = 200
+)
+
+// Memory returns the memory that the item takes in a daemon that runs its batch.
+func (i *Item) Memory() int64 {
+	size := itemOverhead + len(i.ID) + len(i.Group) + len(i.Path) + len(i.Body)
+	for name, values := range i.Header {
+		size += headerOverhead + len(name)
+		for _, value := range values {
+			size += len(value)
+		}
+	}
+	if s := i.Scorer; s != nil {
+		size += scorerOverhead + len(s.ID) + len(s.Host) + len(s.Path) + len(s.Body)
+	}
+	return int64(size)
+}
+
 // State is the final state of an item.
 type State string
 
@@ -118,7 +160,8 @@
 
 // Limits of one batch.
 const (
-	maxItems = 20_000
+	// MaxItems is the largest number of items.
+	MaxItems = 20_000
 	// maxExpectedTokens bounds the estimate for one item: replicas are divided between models by it.
 	maxExpectedTokens = 1 << 24
 	// maxPartBytes bounds the items in one object, with room for the store's own encoding.
@@ -133,8 +176,8 @@
 	switch {
 	case j.ID == "" || strings.ContainsAny(j.ID, "/?#~ "):
 		return invalid("the batch id is empty or contains one of / ? # ~ or a blank")
-	case len(j.Items) == 0 || len(j.Items) > maxItems:
-		return invalid(fmt.Sprintf("the batch has %d items; allowed are 1 to %d", len(j.Items), maxItems))
+	case len(j.Items) == 0 || len(j.Items) > MaxItems:
+		return invalid(fmt.Sprintf("the batch has %d items; allowed are 1 to %d", len(j.Items), MaxItems))
 	}
 	seen := map[string]bool{}
 	for _, item := range j.Items {
@@ -172,40 +215,60 @@
 	if err != nil {
 		return Job{}, err
 	}
-	inRange := j.Parts >= 0 && j.Parts <= maxItems && j.total() > 0 && j.total() <= maxItems && (len(j.Items) > 0 || j.Parts > 0)
-	if j.ID == "" || jobKey(j.ID) != key || !inRange || !(j.ExpectedTokens >= 0 && j.ExpectedTokens <= maxItems*maxExpectedTokens) {
+	inRange := j.Parts >= 0 && j.Parts <= MaxItems && j.total() > 0 && j.total() <= MaxItems && (len(j.Items) > 0 || j.Parts > 0)
+	if j.ID == "" || jobKey(j.ID) != key || !inRange || !(j.ExpectedTokens >= 0 && j.ExpectedTokens <= MaxItems*maxExpectedTokens) {
 		return Job{}, fault.New(fault.Invalid, key+" does not describe a batch of that name", "remove the object")
 	}
 	return j, nil
 }
 
-// encode returns the objects of a job: the head, and parts if the items do not fit into it.
-func (j Job) encode() (head []byte, parts [][]byte, err error) {
+// encodeHead returns the head of a job, with the items if they fit into it.
+func (j Job) encodeHead() (head []byte, hasItems bool) {
 	j.ExpectedTokens = expectedTokens(j)
-	head, err = json.Marshal(j)
-	if err != nil || len(head) <= maxHeadBytes {
-		return head, nil, err
+	if j.rawSize() <= maxHeadBytes {
+		if head = encodeJSON(j); len(head) <= maxHeadBytes {
+			return head, true
+		}
 	}
-	var part []Item
+	j.ItemMemory = j.itemMemory()
+	return encodeJSON(j.withoutItems()), false
+}
+
+// rawSize returns less than what the items take once encoded.
+func (j Job) rawSize() int {
 	size := 0
-	flush := func() error {
-		value, err := json.Marshal(part)
-		parts, part, size = append(parts, value), nil, 0
-		return err
+	for i := range j.Items {
+		size += len(j.Items[i].Body)
+		if s := j.Items[i].Scorer; s != nil {
+			size += len(s.Body)
+		}
 	}
-	for _, item := range j.Items {
-		if itemBytes := len(item.Body)*2 + 1000; size+itemBytes > maxPartBytes && len(part) > 0 {
-			if err := flush(); err != nil {
-				return nil, nil, err
+	return size
+}
+
+// parts encodes the items, one part at a time: a batch may take most of the memory that the process has.
+func (j Job) parts() iter.Seq2[int, []byte] {
+	return func(yield func(n int, value []byte) bool) {
+		n, size, first := 0, 0, 0
+		for i, item := range j.Items {
+			itemBytes := len(item.Body)*2 + 1000
+			if size+itemBytes > maxPartBytes && i > first {
+				if !yield(n, encodeJSON(j.Items[first:i])) {
+					return
+				}
+				n, size, first = n+1, 0, i
 			}
+			size += itemBytes
 		}
-		part = append(part, item)
-		size += len(item.Body)*2 + 1000
+		yield(n, encodeJSON(j.Items[first:]))
 	}
-	if err := flush(); err != nil {
-		return nil, nil, err
+}
+
+// encodeJSON encodes a value that consists of strings, bytes, numbers and times only.
+func encodeJSON(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
-	j.Total, j.Items, j.Parts = len(j.Items), nil, len(parts)
-	head, err = json.Marshal(j)
-	return head, parts, err
+	return text
 }
--- a/batch/log_test.go
+++ b/batch/log_test.go
@@ -150,10 +150,15 @@
 	for i := range 3000 {
 		job.Items = append(job.Items, Item{ID: fmt.Sprint(i), Path: "/x", Body: make([]byte, 1000)})
 	}
-	head, parts, err := job.encode()
-	if err != nil || len(parts) < 2 {
-		t.Fatalf("got %d parts, want at least 2; error %v", len(parts), err)
+	var parts [][]byte
+	for _, part := range job.parts() {
+		parts = append(parts, part)
 	}
+	if len(parts) < 2 {
+		t.Fatalf("got %d parts, want at least 2", len(parts))
+	}
+	job.Parts = len(parts)
+	head, _ := job.encodeHead()
 	decoded, err := decodeJob(head)
 	if err != nil || decoded.Parts != len(parts) || decoded.Total != 3000 || len(decoded.Items) != 0 {
 		t.Fatalf("decoded head %+v, error %v", decoded, err)
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -33,6 +33,7 @@
 	Tracker            *placement.Tracker
 	Backend            upstream.Backend
 	Configuration      func() *catalog.Configuration // nil until a configuration is known
+	Items              *connlimit.Budget             // memory of the items of batches that this daemon runs; nil for no limit
 	Texts              *connlimit.Budget             // memory of unfinished completions; nil for no limit
 	ReportUnresponsive func(daemon string)           // called for a daemon that did not respond
 	Measures           *measure.Set
@@ -53,8 +54,11 @@
 	reportUnresponsive func(daemon string)
 	measures           *measure.Set
 	log                *event.Logger
+	itemMemory         *connlimit.Budget
 	texts              *connlimit.Budget
 	scoreSlots         *serviceSlots // limits concurrent scoring requests
+	largeWrites        chan struct{} // limits concurrent writes of large parts
+	largeForwards      chan struct{} // limits concurrent calls that forward a large batch
 
 	ctx           context.Context // ends when Run returns
 	stop          context.CancelFunc
@@ -89,6 +93,7 @@
 		self: deps.Self, store: deps.Store, mirror: deps.Mirror, members: deps.MemberAddresses, conns: deps.Conns, tracker: deps.Tracker,
 		backend: deps.Backend, configuration: deps.Configuration, reportUnresponsive: deps.ReportUnresponsive, measures: deps.Measures, log: deps.Log,
 		cores: deps.MemberCores, texts: cmp.Or(deps.Texts, connlimit.NewBudget(math.MaxInt64)), scoreSlots: newServiceSlots(),
+		itemMemory: cmp.Or(deps.Items, connlimit.NewBudget(math.MaxInt64)), largeWrites: make(chan struct{}, maxLargeWrites), largeForwards: make(chan struct{}, maxLargeForwards),
 		ctx: ctx, stop: stop, batches: map[string]*batchState{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
 	}
 	if m.cores == nil {
--- a/batch/observe.go
+++ b/batch/observe.go
@@ -88,10 +88,10 @@
 		items = append(items, result.ID)
 	}
 	r.measures.Observe(measure.ChunkWrite, took)
-	if confirmedCount >= len(r.job.Items) {
+	if confirmedCount >= r.job.total() {
 		r.measures.Observe(measure.BatchWhole, time.Since(r.job.AcceptedAt), r.job.Model)
 	}
 	r.log.Log(event.BatchListed, event.F("batch", r.job.ID), event.F("chunk", key), event.F("items", items),
-		event.F("listed", confirmedCount), event.F("total", len(r.job.Items)), event.F("write_ms", took.Milliseconds()),
+		event.F("listed", confirmedCount), event.F("total", r.job.total()), event.F("write_ms", took.Milliseconds()),
 		event.F("since_ms", time.Since(r.job.AcceptedAt).Milliseconds()))
 }
--- a/batch/owner.go
+++ b/batch/owner.go
@@ -21,6 +21,11 @@
 	forwardTimeout  = 700 * time.Millisecond
 	minOwnerBackoff = 5 * time.Second
 	maxOwnerBackoff = 5 * time.Minute
+	// maxForwardBytes bounds the items of a batch that is forwarded, and maxLargeForwards the number of those over
+	// smallPartBytes at a time: both daemons hold a forwarded batch several times, and the owner has read it
+	// before it can refuse it.
+	maxForwardBytes  = 2 << 20
+	maxLargeForwards = 2
 )
 
 // chooseOwner chooses the daemon that runs a batch. Load pattern: the steps of one trainer follow
@@ -70,12 +75,24 @@
 // forward has another daemon store and run the batch. An error with outcome fault.NotRun means
 // that the owner did not store it and never will.
 func (m *Manager) forward(ctx context.Context, owner string, job Job) error {
+	size := job.itemMemory()
+	if size > maxForwardBytes {
+		return notForwardedError("the batch is too large to be forwarded")
+	}
+	if size > smallPartBytes {
+		select {
+		case m.largeForwards <- struct{}{}:
+			defer func() { <-m.largeForwards }()
+		default:
+			return notForwardedError("other batches are being forwarded")
+		}
+	}
 	value, err := json.Marshal(job)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the batch can't be encoded for forwarding", "report this defect", fault.WithOutcome(fault.NotRun))
 	}
-	if len(value) > maxMessageBytes { // the owner is not at fault
-		return fault.New(fault.Invalid, "the batch is too large to be forwarded", "run the batch here", fault.WithOutcome(fault.NotRun))
+	if len(value) > maxMessageBytes { // escapes make it longer than its items are
+		return notForwardedError("the batch is too large to be forwarded")
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
@@ -88,7 +105,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if fault.Is(err, fault.Forbidden) {
+	if fault.Is(err, fault.Forbidden) || fault.Is(err, fault.Overloaded) {
 		return err // a response: the owner is not at fault
 	}
 	if err != nil {
@@ -103,6 +120,11 @@
 	return nil
 }
 
+// notForwardedError is the error of a batch that this daemon keeps; the owner is not at fault.
+func notForwardedError(reason string) error {
+	return fault.New(fault.Overloaded, reason, "run the batch here", fault.WithOutcome(fault.NotRun))
+}
+
 // ownerBackoff is the period in which a daemon is not chosen as an owner.
 type ownerBackoff struct {
 	until time.Time
--- a/batch/run.go
+++ b/batch/run.go
@@ -15,7 +15,7 @@
 type run struct {
 	*Manager
 
-	job     Job
+	job     Job             // without its items
 	results *resultLog      // results log of the batch
 	ctx     context.Context // ends with the batch or the daemon
 	cancel  context.CancelFunc
@@ -30,6 +30,7 @@
 	queueGrew        chan struct{}                // signals that the queue grew
 	streams          map[*completionStream]bool   // streams in flight
 	textHolders      map[string]*connlimit.Holder // memory of the unfinished completions, by item
+	memory           *connlimit.Holder            // of the items
 
 	lastWaitLog time.Time // when logWaiting last logged
 }
@@ -45,11 +46,12 @@
 	startedOver bool // see errEndNotConfirmed
 }
 
-// start runs a batch and resumes from the given completions of its unfinished items.
-func (m *Manager) start(job Job, log *resultLog, completions map[string]*Completion) *run {
+// start runs a batch and resumes from the given completions of its unfinished items. memory holds the memory
+// of the items; the run releases it.
+func (m *Manager) start(job Job, log *resultLog, completions map[string]*Completion, memory *connlimit.Holder) *run {
 	ctx, cancel := context.WithCancel(m.ctx)
 	r := &run{
-		Manager: m, job: job, results: log, ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		Manager: m, job: job.withoutItems(), results: log, ctx: ctx, cancel: cancel, done: make(chan struct{}), memory: memory,
 		unfinished: completions, finished: map[string]*Completion{}, failures: map[string]int{}, remainingByGroup: map[string]int{},
 		queueGrew: make(chan struct{}, 1), streams: map[*completionStream]bool{}, textHolders: map[string]*connlimit.Holder{},
 	}
@@ -74,6 +76,7 @@
 // dispatch starts tasks until the batch ends.
 func (r *run) dispatch() {
 	defer close(r.done)
+	defer r.releaseItems()
 	defer r.releaseTexts()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -95,6 +98,20 @@
 	}
 }
 
+// releaseItems releases the items of a batch that needs them no more in this process: all are listed, or the
+// run has ended. Those in the head of a batch stay with it, as in all daemons.
+func (r *run) releaseItems() {
+	r.mu.Lock()
+	r.queue = nil
+	r.memory.Release()
+	r.mu.Unlock()
+	r.Manager.mu.Lock()
+	defer r.Manager.mu.Unlock()
+	if b := r.batches[r.job.ID]; b != nil && b.job.Parts > 0 && (b.run == nil || b.run == r) {
+		b.job = b.job.withoutItems()
+	}
+}
+
 // guardTask runs the work of a task. If it panics, the item failed once, as if its replica had
 // reported that: an item that panics each time would end one daemon after the other.
 func (r *run) guardTask(t *task, work func()) {
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -66,9 +67,26 @@
 	}
 	wg.Wait()
 	m.yieldDuplicates(ctx, peers)
+	m.releaseListed()
 	m.expire(ctx)
 }
 
+// releaseListed releases the items of batches whose items are all listed: their clients may end them late or
+// never.
+func (m *Manager) releaseListed() {
+	m.mu.Lock()
+	var listed []*run
+	for _, b := range m.batches {
+		if b.run != nil && len(b.job.Items) > 0 && b.job.Parts > 0 && b.log.confirmedCount() >= b.total() {
+			listed = append(listed, b.run)
+		}
+	}
+	m.mu.Unlock()
+	for _, r := range listed {
+		r.releaseItems()
+	}
+}
+
 // IsRunning reports whether this daemon runs a batch or is about to.
 func (m *Manager) IsRunning(id string) bool {
 	m.mu.Lock()
@@ -202,6 +220,8 @@
 	b.starting = true
 	job, log := b.job, b.log
 	m.mu.Unlock()
+	memory := m.itemMemory.PriorityHolder(math.MaxInt64)
+	defer memory.Release()
 	loading := true
 	defer func() { // counts only if loading panics: the batch would otherwise count as run here for ever
 		if loading {
@@ -210,7 +230,7 @@
 			m.mu.Unlock()
 		}
 	}()
-	items, err := m.items(ctx, job)
+	items, err := m.loadItems(ctx, job, memory)
 	if err == nil {
 		var savedCompletions map[string]*Completion
 		if savedCompletions, err = log.loadWithCompletions(ctx); completions == nil {
@@ -231,11 +251,12 @@
 		return // retried in the next round
 	}
 	job.Items = items
+	memory.ShrinkTo(job.itemMemory())
 	b.job = job
 	if !settled {
 		log.markContested()
 	}
-	b.run = m.start(job, log, completions)
+	b.run = m.start(job, log, completions, memory.Transfer())
 	b.unservedRounds = 0
 	go m.log.Guard("notice of batch "+job.ID, func() { m.notifyTakenOver(job) })
 	m.log.Log(event.BatchTakenOver, event.F("batch", job.ID), event.F("owner", job.Owner),
--- a/batch/text_limit_test.go
+++ b/batch/text_limit_test.go
@@ -77,7 +77,7 @@
 		for n := range items {
 			job.Items = append(job.Items, Item{ID: fmt.Sprint("i", n), Group: fmt.Sprint(n), Path: "/x", MaxTokens: tokens})
 		}
-		r := m.start(job, newResultLog("b", m.store, nil), nil)
+		r := m.start(job, newResultLog("b", m.store, nil), nil, m.itemMemory.Holder(0))
 		most, deadline := int64(0), time.Now().Add(20*time.Second)
 		for r.results.confirmedCount() < items && time.Now().Before(deadline) {
 			most = max(most, m.texts.Used())
--- a/connlimit/budget.go
+++ b/connlimit/budget.go
@@ -1,6 +1,9 @@
 package connlimit
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	bodyMemoryPart, bodyMemoryParts = 3, 8     // of the process's memory
@@ -59,11 +62,16 @@
 type Budget struct {
 	limit int64
 
-	mu      sync.Mutex
-	used    usage
-	refused int64
+	mu           sync.Mutex
+	used         usage
+	refused      int64
+	claimed      int64     // bytes that a holder with priority waits for
+	claimedUntil time.Time // when it counts as gone
 }
 
+// claimPeriod is how long bytes are kept for a holder with priority that was refused. It asks again sooner.
+const claimPeriod = 2 * time.Second
+
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
@@ -83,37 +91,85 @@
 
 // Holder holds the bytes of one request. It must be used by one goroutine at a time.
 type Holder struct {
-	budget *Budget
-	alone  int64
-	held   int64
+	budget   *Budget
+	alone    int64
+	held     int64
+	priority bool
 }
 
 // Holder returns a holder without any bytes. As the only holder of a large body it may take
 // up to alone bytes, even if the budget is smaller.
 func (b *Budget) Holder(alone int64) *Holder { return &Holder{budget: b, alone: alone} }
 
+// PriorityHolder is like Holder. While it waits for bytes that it was refused, they are not given to large bodies
+// of other holders. Load pattern: accepted work that another process has lost needs room in a process that takes
+// all the new work it has room for.
+func (b *Budget) PriorityHolder(alone int64) *Holder {
+	return &Holder{budget: b, alone: alone, priority: true}
+}
+
 // Take takes size more bytes. It reports false and takes nothing if the budget is used up.
 func (h *Holder) Take(size int64) bool {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !admits(b.limit, b.used, h.held, h.held+size, h.alone) {
+	if !h.fits(size) {
 		b.refused++
+		if h.priority {
+			b.claimed, b.claimedUntil = size, time.Now().Add(claimPeriod)
+		}
 		return false
 	}
+	if h.priority {
+		b.claimed = 0
+	}
 	b.used = b.used.add(h.held, h.held+size)
 	h.held += size
 	return true
 }
 
-// Held returns the number of bytes held.
-func (h *Holder) Held() int64 { return h.held }
+// Fits reports whether Take would take size more bytes now. One that would not counts as refused.
+func (h *Holder) Fits(size int64) bool {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fits := h.fits(size)
+	if !fits {
+		b.refused++
+	}
+	return fits
+}
 
-// Release returns all bytes to the budget. It may be called more than once.
-func (h *Holder) Release() {
+// fits is called with the budget's lock held.
+func (h *Holder) fits(size int64) bool {
+	b := h.budget
+	used := b.used
+	if !h.priority && b.claimed > 0 && time.Now().Before(b.claimedUntil) {
+		used.large += b.claimed
+	}
+	return admits(b.limit, used, h.held, h.held+size, h.alone)
+}
+
+// ShrinkTo returns the bytes over size to the budget.
+func (h *Holder) ShrinkTo(size int64) {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used = b.used.add(h.held, 0)
+	if size < h.held {
+		b.used = b.used.add(h.held, size)
+		h.held = size
+	}
+}
+
+// Transfer returns a new holder with the bytes of this one, which is then empty.
+func (h *Holder) Transfer() *Holder {
+	moved := *h
 	h.held = 0
+	return &moved
 }
+
+// Held returns the number of bytes held.
+func (h *Holder) Held() int64 { return h.held }
+
+// Release returns all bytes to the budget. It may be called more than once.
+func (h *Holder) Release() { h.ShrinkTo(0) }
--- a/edge/crowdtest/harness_test.go
+++ b/edge/crowdtest/harness_test.go
@@ -33,6 +33,7 @@
 	readyTimeout  = 15 * time.Second
 	sampleTime    = 20 * time.Millisecond
 	host          = "desk.example"
+	stepPath      = "/steps/"
 )
 
 // program is the path of the built daemon.
@@ -55,6 +56,8 @@
 // daemon is a running process with its addresses.
 type daemon struct {
 	t                          *testing.T
+	memoryMB                   int
+	store                      *fakeplatform.Server
 	front, ready, peer, metric string
 	cmd                        *exec.Cmd
 	ended                      chan struct{}
@@ -67,6 +70,12 @@
 
 // startDaemon starts a daemon with a store and one replica, and waits until it is ready.
 func startDaemon(t *testing.T) *daemon {
+	t.Helper()
+	return startDaemonWith(t, memoryMB, maxBodyBytes)
+}
+
+// startDaemonWith starts a daemon with the given memory and the given limit of a body.
+func startDaemonWith(t *testing.T, memoryMB, maxBodyBytes int) *daemon {
 	t.Helper()
 	store := fakeplatform.New(fakeplatform.Config{})
 	storeServer := httptest.NewServer(store.Handler())
@@ -79,8 +88,11 @@
 		"Routes": []map[string]any{{
 			"Name": "records", "Hostname": host, "PathPrefix": "/", "Kind": "idempotent", "Backend": "desk",
 			"TimeoutMs": 4000, "TargetLatencyMs": 300, "MaxAttempts": 3,
+		}, {
+			"Name": "steps", "Hostname": host, "PathPrefix": stepPath, "Kind": "rollout", "Backend": "model",
+			"TimeoutMs": 20000, "TargetLatencyMs": 400, "MaxAttempts": 3, "DueMs": 20000, "RetentionS": 100,
 		}},
-		"Services": []map[string]any{{"Name": "desk"}},
+		"Services": []map[string]any{{"Name": "desk"}, {"Name": "model", "Engine": map[string]any{"Slots": 8, "Models": []map[string]any{{"Name": "m0"}}}}},
 		"Limits":   map[string]any{"MaxBodyBytes": maxBodyBytes, "MaxHeaderBytes": maxHeadBytes, "HeaderTimeoutMs": headTimeoutMs, "IdleTimeoutMs": 30000},
 	})
 	if err != nil {
@@ -88,7 +100,7 @@
 	}
 	store.PutSpec("config/main", configuration)
 
-	d := &daemon{t: t, ended: make(chan struct{}), stopSampling: make(chan struct{}), sampled: make(chan struct{})}
+	d := &daemon{t: t, memoryMB: memoryMB, store: store, ended: make(chan struct{}), stopSampling: make(chan struct{}), sampled: make(chan struct{})}
 	addresses := cluster.NewAddressAllocator()
 	for _, address := range []*string{&d.front, &d.ready, &d.peer, &d.metric} {
 		var err error
@@ -194,8 +206,8 @@
 	}
 	peak := d.peakMemoryKB()
 	d.t.Logf("peak of the resident memory %d KB, open descriptors %d", peak, d.openFiles)
-	if peak > memoryMB<<10 {
-		d.t.Errorf("peak of the resident memory %d KB, bound %d KB", peak, memoryMB<<10)
+	if peak > d.memoryMB<<10 {
+		d.t.Errorf("peak of the resident memory %d KB, bound %d KB", peak, d.memoryMB<<10)
 	}
 	if d.openFiles > maxOpenFiles {
 		d.t.Errorf("%d open descriptors, bound %d", d.openFiles, maxOpenFiles)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -189,7 +189,7 @@
 			inifile.Int("head_bytes", "bytes", defaultHeadBytes, 8<<10, 1<<20, "Longest request head. At the front address `MaxHeaderBytes` of the configuration in force, and some room, takes precedence.", func(s *Settings) *int { return &s.Clients.HeadBytes }),
 			inifile.Duration("head_time", defaultHeadTime, time.Second, maxDuration, "Longest time until a head is complete. At the front address `HeaderTimeoutMs` of the configuration in force, and some room, takes precedence.", func(s *Settings) *time.Duration { return &s.Clients.HeadTime }),
 			inifile.Int("head_memory", "MB", 0, 0, 1<<20, "Memory of all unfinished heads together. 0 for a sixteenth of `memory`, or 16 if that is 0.", func(s *Settings) *int { return &s.Clients.HeadMemoryMB }),
-			inifile.Int("body_memory", "MB", 0, 0, 1<<20, "Memory of all request bodies together; an eighth is kept for bodies up to 64 KB. 0 for three eighths of `memory`, or 64 if that is 0.", func(s *Settings) *int { return &s.Clients.BodyMemoryMB }),
+			inifile.Int("body_memory", "MB", 0, 0, 1<<20, "Memory of all request bodies and of the items of running batches together; an eighth is kept for bodies up to 64 KB. 0 for three eighths of `memory`, or 64 if that is 0.", func(s *Settings) *int { return &s.Clients.BodyMemoryMB }),
 			inifile.Int("connections", "connections", 0, 0, 1<<20, "Open connections of clients at all addresses: half of them at the front address, two fifths at the peer address, a twentieth each at the ready and the metric address, at least 16 each. 0 for five eighths of the descriptors, and no more than one for each 128 KB of `memory`.", func(s *Settings) *int { return &s.Clients.Connections }),
 		},
 	}
--- a/edge/wiring.go
+++ b/edge/wiring.go
@@ -90,7 +90,7 @@
 			return batch.NewManager(batch.Dependencies{
 				Self: s.ID, Store: store, Mirror: m, MemberAddresses: d.members, MemberCores: d.memberCores, Conns: conns, Tracker: tracker, Backend: backend,
 				Configuration: d.configuration.Load, ReportUnresponsive: rosterManager.ReportUnresponsive, Measures: measures, Log: d.log,
-				Texts: d.newBufferBudget(textBuffers),
+				Items: d.bodies, Texts: d.newBufferBudget(textBuffers),
 			})
 		},
 		func(store *relay.Store, tracker *placement.Tracker, transport *platform.ReplicaTransport, batches *batch.Manager, measures *measure.Set) *waves.Manager {
--- a/event/batch.go
+++ b/event/batch.go
@@ -27,5 +27,6 @@
 	BatchPartialsNotSaved = define(1522, logrus.InfoLevel, "partial completions not saved", "The store did not accept the partial completions; the write is retried later. If the batch is taken over before that, they are generated again.")
 	BatchOwnerSkipped     = define(1512, logrus.InfoLevel, "batch owner skipped", "The daemon that runs the trainer's steps did not accept the batch; the daemon that received it runs it.")
 	BatchChunkUnreadable  = define(1524, logrus.ErrorLevel, "stored results are unreadable", "Another writer created or changed the object. It counts as empty; its items are listed again in a later one.")
+	BatchTakeoverDeferred = define(1525, logrus.WarnLevel, "takeover of a batch deferred", "The items need bytes that the memory for batches does not have; it is tried again, before new batches get that memory. If it lasts, give the instances more memory.")
 	BatchResultTooLarge   = define(1523, logrus.ErrorLevel, "result fits into no object", "The item is listed as errored, since its output is larger than the store's values may be. Bound the length of outputs.")
 )
