Split submissions by the size of what is stored

Cause: how many items go into one object was guessed from the sizes of their bodies. Scoring requests, headers and escapes were left out, and an item was never split.

Change: parts are filled by the size of their encoding in the store (objectapi.EncodedSize); bodies over 128 KB are split over entries. The same measure bounds chunks of results and saved completions, which had the same fault with texts of quotes. HTML escapes are not written any more. Parts have a new kind and a format in the head; those of the version before are still read. The stand-in for the store refuses values over the limit. A part is compared with one that is stored already whether or not there are organisations.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -149,6 +149,7 @@
 
 // writeParts stores the parts that the store does not have yet.
 func (a *acceptance) writeParts(ctx context.Context) error {
+	a.job.PartFormat = newestPartFormat
 	for n, part := range a.job.parts() {
 		if n < a.storedParts {
 			continue
@@ -170,21 +171,17 @@
 			return fault.Wrap(ctx.Err(), fault.Canceled, "no time was left to store it", "")
 		}
 	}
-	_, err := a.store.Create(ctx, partKey(a.job.ID, n), part)
+	_, err := a.store.Create(ctx, a.job.partKey(n), part)
 	if fault.Is(err, fault.Conflict) {
 		return a.checkPart(ctx, n, part)
 	}
 	return err
 }
 
-// checkPart returns an error if a part that is stored already has other items. Failure: another
-// organisation submitted a batch with the same ID and stored only its parts; their items must not run
-// for this one.
+// checkPart returns an error if a part that is stored already has other items. Failure: another submission
+// with the same ID, perhaps of another organisation, stored only its parts; their items must not run for this one.
 func (a *acceptance) checkPart(ctx context.Context, n int, own []byte) error {
-	if a.job.Organisation == "" {
-		return nil
-	}
-	stored, err := a.store.Get(ctx, partKey(a.job.ID, n))
+	stored, err := a.store.Get(ctx, a.job.partKey(n))
 	if err != nil || bytes.Equal(stored.Value, own) {
 		return err
 	}
--- a/batch/expire.go
+++ b/batch/expire.go
@@ -42,7 +42,7 @@
 		}
 	}
 	for i := range job.Parts {
-		if o, err := m.store.Get(ctx, partKey(job.ID, i)); err == nil && m.store.Delete(ctx, o.Key, o.Version) != nil {
+		if o, err := m.store.Get(ctx, job.partKey(i)); err == nil && m.store.Delete(ctx, o.Key, o.Version) != nil {
 			return
 		}
 	}
--- a/batch/items.go
+++ b/batch/items.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/hornbeamtide/hornbeamtide/batch/batchpb"
 	"github.com/hornbeamtide/hornbeamtide/connlimit"
@@ -38,21 +37,21 @@
 
 // readItems calls f for each item in the parts of a batch until f returns false. It holds one part at a time.
 func (m *Manager) readItems(ctx context.Context, job Job, f func(*Item) bool) error {
+	var reader itemReader
 	for i := range job.Parts {
-		o, err := m.store.Get(ctx, partKey(job.ID, i))
+		o, err := m.store.Get(ctx, job.partKey(i))
 		if err != nil {
 			return storeUnavailable(err)
 		}
-		part, err := decodeItems(o.Value)
+		more, err := reader.read(o.Value, f)
 		if err != nil {
 			return fault.Wrap(err, fault.Internal, "items of batch "+job.ID+" can't be decoded", "report this defect")
 		}
-		for k := range part {
-			if !f(&part[k]) {
-				return nil
-			}
+		if !more {
+			return nil
 		}
 	}
+	reader.end(f)
 	return nil
 }
 
@@ -116,9 +115,3 @@
 	}
 	return nil, false
 }
-
-func decodeItems(value []byte) ([]Item, error) {
-	var items []Item
-	err := json.Unmarshal(value, &items)
-	return items, err
-}
--- a/batch/job.go
+++ b/batch/job.go
@@ -7,10 +7,10 @@
 package batch
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"iter"
 	"strings"
 	"time"
 
@@ -41,6 +41,7 @@
 	GroupCount     int       `json:"group_count"` // groups that the trainer waits for
 	Items          []Item    `json:"items,omitempty"`
 	Parts          int       `json:"parts,omitempty"`       // number of objects that hold the items, 0 if Items holds them
+	PartFormat     int       `json:"part_format,omitempty"` // see newestPartFormat
 	Total          int       `json:"total,omitempty"`       // number of items in the parts
 	ItemMemory     int64     `json:"item_memory,omitempty"` // of the items in the parts, see Item.Memory; 0 if a daemon of an earlier version stored them
 	ExpectedTokens float64   `json:"work,omitempty"`        // expected output tokens of all items
@@ -115,6 +116,21 @@
 	return int64(size)
 }
 
+// headSize returns the size of the item without its bodies.
+func (i *Item) headSize() int {
+	size := len(i.ID) + len(i.Group) + len(i.Path)
+	for name, values := range i.Header {
+		size += len(name)
+		for _, value := range values {
+			size += len(value)
+		}
+	}
+	if s := i.Scorer; s != nil {
+		size += len(s.ID) + len(s.Host) + len(s.Path)
+	}
+	return size
+}
+
 // State is the final state of an item.
 type State string
 
@@ -164,8 +180,11 @@
 	MaxItems = 20_000
 	// maxExpectedTokens bounds the estimate for one item: replicas are divided between models by it.
 	maxExpectedTokens = 1 << 24
-	// maxPartBytes bounds the items in one object, with room for the store's own encoding.
-	maxPartBytes = objectapi.MaxValueBytes / 2
+	// maxObjectBytes bounds what one object holds, once it is encoded for the store (objectapi.EncodedSize), with
+	// room for the object's other fields.
+	maxObjectBytes = objectapi.MaxValueBytes / 8 * 7
+	// maxItemHeadBytes bounds an item without its bodies. It fits into one object whatever it consists of.
+	maxItemHeadBytes = 124 << 10
 	// maxHeadBytes bounds a head that includes its items: every daemon caches all heads, but
 	// only the daemon that runs a batch needs its items.
 	maxHeadBytes = 8 << 10
@@ -188,6 +207,9 @@
 			return invalid("item " + item.ID + " has no path that begins with /")
 		}
 		seen[item.ID] = true
+		if size := item.headSize(); size > maxItemHeadBytes {
+			return invalid(fmt.Sprintf("item %.100s has %d bytes beside its bodies; allowed are %d", item.ID, size, maxItemHeadBytes))
+		}
 	}
 	return nil
 }
@@ -198,7 +220,6 @@
 
 func jobKey(id string) string          { return KindBatches + "/" + id }
 func endKey(id string) string          { return KindBatchEnds + "/" + id }
-func partKey(id string, n int) string  { return fmt.Sprintf("parts-%s/%06d", id, n) }
 func resultsKind(id string) string     { return "results-" + id }
 func completionsKey(id string) string  { return resultsKind(id) + "/texts" }
 func chunkKey(id string, n int) string { return fmt.Sprintf("%s/%06d", resultsKind(id), n) }
@@ -215,6 +236,9 @@
 	if err != nil {
 		return Job{}, err
 	}
+	if j.PartFormat > newestPartFormat {
+		return Job{}, fault.New(fault.Invalid, key+" has parts in a format of a newer version", "update this daemon")
+	}
 	inRange := j.Parts >= 0 && j.Parts <= MaxItems && j.total() > 0 && j.total() <= MaxItems && (len(j.Items) > 0 || j.Parts > 0)
 	if j.ID == "" || jobKey(j.ID) != key || !inRange || !(j.ExpectedTokens >= 0 && j.ExpectedTokens <= MaxItems*maxExpectedTokens) {
 		return Job{}, fault.New(fault.Invalid, key+" does not describe a batch of that name", "remove the object")
@@ -230,7 +254,7 @@
 			return head, true
 		}
 	}
-	j.ItemMemory = j.itemMemory()
+	j.ItemMemory, j.PartFormat = j.itemMemory(), newestPartFormat
 	return encodeJSON(j.withoutItems()), false
 }
 
@@ -246,29 +270,14 @@
 	return size
 }
 
-// parts encodes the items, one part at a time: a batch may take most of the memory that the process has.
-func (j Job) parts() iter.Seq2[int, []byte] {
-	return func(yield func(n int, value []byte) bool) {
-		n, size, first := 0, 0, 0
-		for i, item := range j.Items {
-			itemBytes := len(item.Body)*2 + 1000
-			if size+itemBytes > maxPartBytes && i > first {
-				if !yield(n, encodeJSON(j.Items[first:i])) {
-					return
-				}
-				n, size, first = n+1, 0, i
-			}
-			size += itemBytes
-		}
-		yield(n, encodeJSON(j.Items[first:]))
-	}
-}
-
-// encodeJSON encodes a value that consists of strings, bytes, numbers and times only.
+// encodeJSON encodes a value that consists of strings, bytes, numbers and times only, without the escapes that only
+// HTML needs.
 func encodeJSON(value any) []byte {
-	text, err := json.Marshal(value)
-	if err != nil {
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
 		panic(err)
 	}
-	return text
+	return bytes.TrimSuffix(text.Bytes(), []byte{'\n'})
 }
--- a/batch/log.go
+++ b/batch/log.go
@@ -19,9 +19,7 @@
 	groupFlushDelay = 15 * time.Millisecond
 	// partialGroupFlushDelay is how long a result of an incomplete group waits to share a write.
 	partialGroupFlushDelay = 1500 * time.Millisecond
-	// maxChunkBytes bounds the encoded results in one object, with room for the store's own encoding.
-	maxChunkBytes   = objectapi.MaxValueBytes / 2
-	chunkRetryDelay = 150 * time.Millisecond
+	chunkRetryDelay        = 150 * time.Millisecond
 	// chunkRefusedDelay is the delay after a chunk that the store does not accept at all.
 	chunkRefusedDelay = 2 * time.Second
 )
@@ -309,14 +307,16 @@
 	var encoded [][]byte
 	size := 0
 	for i, r := range l.pending {
-		text := encodeResult(r)
-		if len(text) > maxChunkBytes {
-			l.log.Log(event.BatchResultTooLarge, event.F("batch", l.id), event.F("item", r.ID), event.F("bytes", len(text)))
+		text := encodeJSON(r)
+		resultSize := objectapi.EncodedSize(text)
+		if resultSize > maxObjectBytes {
+			l.log.Log(event.BatchResultTooLarge, event.F("batch", l.id), event.F("item", r.ID), event.F("bytes", resultSize))
 			r = Result{ID: r.ID, State: Errored}
-			l.pending[i], text = r, encodeResult(r)
+			l.pending[i], text = r, encodeJSON(r)
+			resultSize = objectapi.EncodedSize(text)
 		}
-		size += len(text) + 1
-		if size > maxChunkBytes && len(chunk) > 0 {
+		size += resultSize
+		if size > maxObjectBytes && len(chunk) > 0 {
 			break
 		}
 		chunk, encoded = append(chunk, r), append(encoded, text)
@@ -325,14 +325,6 @@
 	return chunkKey(l.id, l.chunks), chunk, value
 }
 
-func encodeResult(r Result) []byte {
-	text, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // can't happen: only strings and numbers
-	}
-	return text
-}
-
 // adoptChunk reads and confirms the chunk that exists under a key that this daemon tried to
 // create: it was written by an earlier attempt of its own or by another daemon.
 func (l *resultLog) adoptChunk(ctx context.Context, key string, own []byte) bool {
--- a/batch/log_test.go
+++ b/batch/log_test.go
@@ -165,17 +165,18 @@
 	}
 	total := 0
 	for _, part := range append(parts, head) {
-		if len(part) > objectapi.MaxValueBytes {
+		if objectapi.EncodedSize(part) > objectapi.MaxValueBytes {
 			t.Errorf("an object has %d bytes, more than the store allows", len(part))
 		}
 	}
+	var reader itemReader
+	count := func(*Item) bool { total++; return true }
 	for _, part := range parts {
-		items, err := decodeItems(part)
-		if err != nil {
+		if _, err := reader.read(part, count); err != nil {
 			t.Fatal(err)
 		}
-		total += len(items)
 	}
+	reader.end(count)
 	if total != 3000 {
 		t.Errorf("parts hold %d items, want 3000", total)
 	}
@@ -192,7 +193,7 @@
 	log.add(Result{ID: "last", State: Completed, Output: "x"}, true)
 	for log.pendingCount() > 0 {
 		before := log.pendingCount()
-		if _, _, value := log.nextChunk(); len(value) > maxChunkBytes+2 {
+		if _, _, value := log.nextChunk(); objectapi.EncodedSize(value) > objectapi.MaxValueBytes {
 			t.Fatalf("chunk of %d bytes", len(value))
 		}
 		log.writeChunk(t.Context(), func(string, []Result, int, time.Duration) {})
--- a/batch/save.go
+++ b/batch/save.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 const (
@@ -83,13 +84,15 @@
 }
 
 func (s *completionSaver) save(completions map[string]Completion) error {
-	value, err := json.Marshal(completions)
-	if err != nil {
-		return err
+	value := encodeJSON(completions)
+	for limit := maxSavedBytes / 2; objectapi.EncodedSize(value) > maxObjectBytes && limit > 0; limit /= 2 { // many escapes
+		completions = selectCompletions(completions, limit)
+		value = encodeJSON(completions)
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, saveTimeout)
 	defer cancel()
 	start, key := time.Now(), completionsKey(s.job.ID)
+	var err error
 	if s.version, err = s.write(ctx, key, value); err != nil {
 		return err
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -112,8 +112,7 @@
 	if !runs || err != nil {
 		return &batchpb.ResultsAnswer{}, err
 	}
-	value, err := json.Marshal(page)
-	return &batchpb.ResultsAnswer{Known: true, Json: value}, err
+	return &batchpb.ResultsAnswer{Known: true, Json: encodeJSON(page)}, nil
 }
 
 // Body implements batchpb.DRPCBatchServer.
--- a/batch/text_limit.go
+++ b/batch/text_limit.go
@@ -4,6 +4,7 @@
 	"github.com/hornbeamtide/hornbeamtide/connlimit"
 	"github.com/hornbeamtide/hornbeamtide/event"
 	"github.com/hornbeamtide/hornbeamtide/fault"
+	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
 const (
@@ -13,13 +14,15 @@
 	minTextLimit  = 16 << 10
 	// eventMemory is the memory of an event beside its text.
 	eventMemory = 32
+	// maxTextBytes bounds the completion of any item: its result has to fit into one object.
+	maxTextBytes = objectapi.MaxValueBytes / 2
 )
 
 // textLimit returns the memory that an item's completion may take: what its tokens may produce, and
 // never more than fits into one object of results. Load pattern: a replica that sends well-formed events
 // without end.
 func textLimit(item *Item) int64 {
-	limit := int64(maxChunkBytes)
+	limit := int64(maxTextBytes)
 	const perToken = maxTokenBytes + eventMemory // an event has at least one token
 	if item.MaxTokens > 0 && item.MaxTokens < limit/perToken {
 		limit = max(item.MaxTokens*perToken, minTextLimit)
@@ -61,10 +64,10 @@
 // item may not produce so much. Otherwise the item may be at fault: its result fits into no object of
 // the store. It then fails after the attempts of its route.
 func (r *run) textError(item *Item) error {
-	if textLimit(item) < maxChunkBytes || r.recordItemFailure(item.ID) < r.maxAttempts(item) {
+	if textLimit(item) < maxTextBytes || r.recordItemFailure(item.ID) < r.maxAttempts(item) {
 		return errTextTooLong
 	}
-	r.log.Log(event.BatchResultTooLarge, event.F("batch", r.job.ID), event.F("item", item.ID), event.F("bytes", maxChunkBytes))
+	r.log.Log(event.BatchResultTooLarge, event.F("batch", r.job.ID), event.F("item", item.ID), event.F("bytes", maxTextBytes))
 	return errItemFailed
 }
 
@@ -73,7 +76,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.textHolders[item.ID] == nil {
-		r.textHolders[item.ID] = r.texts.Holder(maxChunkBytes)
+		r.textHolders[item.ID] = r.texts.Holder(maxTextBytes)
 	}
 	return r.textHolders[item.ID]
 }
--- a/batch/text_limit_test.go
+++ b/batch/text_limit_test.go
@@ -96,7 +96,7 @@
 			t.Errorf("%s: no item was sent to the faulty replica", name)
 		}
 		// The only large completion may take more than the budget, up to one object of results.
-		if most > limit+maxChunkBytes {
+		if most > limit+maxTextBytes {
 			t.Errorf("%s: completions took %d bytes", name, most)
 		}
 		r.stop()
--- a/edge/crowdtest/submissions_test.go
+++ b/edge/crowdtest/submissions_test.go
@@ -103,7 +103,7 @@
 		d.t.Fatal(err)
 	}
 	_ = response.Body.Close()
-	for _, o := range d.store.Objects("parts-" + id + "/") {
+	for _, o := range d.store.Objects("items-" + id + "/") {
 		d.store.Remove(o.Key)
 	}
 }
@@ -165,6 +165,51 @@
 	d.check()
 }
 
+// Guards against submissions within the limits that are answered 400 (found in a review, case 13): the sizes of the
+// objects that hold the items were guessed from the items' bodies, and an item larger than one object was refused.
+func TestSubmissionsOfAnyContentAreAccepted(t *testing.T) {
+	d := startDaemonWith(t, submissionMemoryMB, maxSubmissionBytes)
+	table := []struct {
+		name                          string
+		items, bodyBytes, scorerBytes int
+		headerValue                   string
+	}{
+		{"scoring requests of 3.6 KB", 320, 600, 3600, ""},
+		{"scoring requests of 60 KB", 160, 600, 60_000, ""},
+		{"scoring requests of 700 KB", 20, 600, 700_000, ""},
+		{"scoring requests of 900 KB", 3, 600, 900_000, ""},
+		{"header values of markup", 160, 600, 0, strings.Repeat("<", 3000)},
+		{"items of 900 KB", 20, 900_000, 0, ""},
+		{"one item as large as a submission", 1, 25_000_000, 0, ""},
+	}
+	for n, row := range table {
+		id := fmt.Sprintf("c%d", n)
+		var items []map[string]any
+		for i := range row.items {
+			item := map[string]any{
+				"Id": fmt.Sprintf("%s-%d", id, i), "Path": stepPath + id, "Headers": map[string]string{"Model": "m0", "X-Note": row.headerValue},
+				"Body": bytes.Repeat([]byte{'x'}, row.bodyBytes), "Tokens": 296, "Group": "g",
+			}
+			if row.scorerBytes > 0 {
+				item["ScorerUrl"] = map[string]any{"Id": "s" + id, "Hostname": host, "Path": "/score", "Body": bytes.Repeat([]byte{'y'}, row.scorerBytes)}
+			}
+			items = append(items, item)
+		}
+		body, err := json.Marshal(map[string]any{"Step": 0, "Model": "m0", "MinVersion": 1, "GroupCount": 1, "Items": items})
+		if err != nil || len(body) > maxSubmissionBytes {
+			t.Fatalf("%s: %d bytes, %v", row.name, len(body), err)
+		}
+		status, text, err := d.submit(id, body)
+		t.Logf("%s: status %d, peak %d KB", row.name, status, d.peakMemoryKB())
+		if err != nil || status != http.StatusAccepted {
+			t.Errorf("%s, %d bytes: status %d, %v: %s", row.name, len(body), status, err, text)
+			continue
+		}
+		d.end(id)
+	}
+	d.check()
+}
+
 // checkNothingHeld returns an error if the daemon counts bytes of request bodies or batches as held.
 func (d *daemon) checkNothingHeld() error {
 	response, err := http.Get("http://" + d.metric + "/metrics")
--- a/standin/fakeplatform/objects.go
+++ b/standin/fakeplatform/objects.go
@@ -194,15 +194,22 @@
 	writeJSON(w, http.StatusOK, o.toWire())
 }
 
-// readObject decodes the body of a write. If that fails, it responds with status 400 and returns
-// false.
+// maxSpecBytes bounds the spec of an object, as it was sent: a value of MaxValueBytes in quotes.
+const maxSpecBytes = objectapi.MaxValueBytes + 2
+
+// readObject decodes the body of a write. If that fails or the object is too large, it responds with status 400
+// or 413 and returns false.
 func readObject(w http.ResponseWriter, r *http.Request) (object, bool) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, 2*objectapi.MaxValueBytes))
+	body, err := io.ReadAll(io.LimitReader(r.Body, 8*objectapi.MaxValueBytes))
 	var o object
 	if err != nil || json.Unmarshal(body, &o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return object{}, false
 	}
+	if len(o.Spec) > maxSpecBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return object{}, false
+	}
 	return o, true
 }
 
