Bound the time that a daemon waits for lost sources of updates

Cause: a daemon waited 1.4 s for one source after the other, and decided only between two such requests whether it watches the store itself. Both collectors are asked before any other daemon; if both were gone, that took 2.8 s.

Change: a response that is late by 60 ms lets the daemon ask the next source for a response at once; if that fails within 0.2 s, it watches the store. After a source that failed at once the next one has to respond at once; after two in a row the store is watched. docs/design/mirror.md has the worst case as a sum of waits, and what was weighed.

Evidence: TestChangeIsInForceInTimeWhateverSourcesAreLost replays lost sources on eight mirrors in virtual time. Before, it fails in three of ten rows (both collectors frozen; these and the next daemon; one cut off from the store and the other frozen), with up to 2.1 s; now the latest is 1.53 s with frozen ones and 1.84 s with ones that are cut off from the store.

--- a/mirror/initial.go
+++ b/mirror/initial.go
@@ -28,7 +28,7 @@
 	for attempt := 0; ctx.Err() == nil && !m.isComplete(); attempt++ {
 		ordered := collectorOrder(m.members())
 		if candidates := sources(self, ordered, collectors(ordered, m.isSkipped)); len(candidates) > 0 {
-			source := candidates[attempt%min(len(candidates), maxTriedSources)]
+			source := candidates[attempt%min(len(candidates), initialSources)]
 			requests.Go(func() { m.syncFrom(ctx, source, 0) })
 		}
 		clock.Sleep(ctx, initialSyncInterval)
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -33,9 +33,19 @@
 	// noPeerDelay is the retry delay of a daemon without a usable source, and how long a daemon
 	// with an incomplete copy is skipped.
 	noPeerDelay = 300 * time.Millisecond
-	// maxTriedSources is how many requests in a row may fail before this daemon watches the store
-	// itself.
-	maxTriedSources = 3
+	// lateResponse is how long after the wait of a request its response counts as late, and promptTimeout is how
+	// long another source may take for a response at once. See docs/design/mirror.md for the sum of all waits.
+	lateResponse  = 60 * time.Millisecond
+	promptTimeout = 200 * time.Millisecond
+	// maxFailedSources is how many sources in a row may fail before this daemon watches the store itself.
+	maxFailedSources = 2
+	// lateAge is the age from which a copy that follows no collector is too old to wait for a source. The
+	// rest of the time in which a change must be in force is left for the store's response.
+	lateAge = 1400 * time.Millisecond
+	// minSyncWait is the shortest wait of a request to a source that is no collector.
+	minSyncWait = 100 * time.Millisecond
+	// initialSources is how many sources the initial sync asks in turn.
+	initialSources = 3
 	// startGrace is how long after its start a daemon does not watch the store for failed requests:
 	// all instances may have started together, and those it asks are not up yet.
 	startGrace = 700 * time.Millisecond
@@ -62,7 +72,7 @@
 		switch {
 		case isCollector && chosen[0].ID == self.ID, len(candidates) == 0, m.ageAll() > staleAllAge:
 			m.setWatching(watchAll)
-		case isCollector, m.Age() > staleAge, failures >= maxTriedSources && time.Since(m.startedAt) > startGrace:
+		case isCollector, m.Age() > staleAge, m.needsStore(usable, chosen, failures):
 			m.setWatching(watchUrgent)
 		default:
 			m.setWatching(watchNothing)
@@ -76,16 +86,90 @@
 			other := asked[round%min(len(asked), minCollectors)]
 			m.recordResult(other, m.syncFrom(ctx, other, 0))
 			clock.Sleep(ctx, compareInterval)
+		case failures > 0:
+			failures = m.countFailures(failures, m.askPromptly(ctx, usable[0]))
 		default:
-			if m.recordResult(usable[0], m.syncFrom(ctx, usable[0], syncWait)) {
-				failures = 0
-			} else {
-				failures++
-			}
+			failures = m.follow(ctx, usable, chosen)
 		}
 	}
 }
 
+// needsStore decides whether a daemon that is no collector watches the store itself, from the number of sources that
+// failed in a row. Load pattern: several daemons are lost at once without a sign, frozen or cut off, among them those
+// that this one waits for. A source costs at most one late response; then the store is asked. In calm the first source
+// is a collector that responds, and the store is not asked.
+func (m *Mirror) needsStore(usable, chosen []Member, failures int) bool {
+	if time.Since(m.startedAt) <= startGrace {
+		return false
+	}
+	if failures >= maxFailedSources {
+		return true
+	}
+	followsCollector := len(usable) > 0 && contains(chosen, usable[0].ID)
+	return !followsCollector && m.Age() > lateAge
+}
+
+// follow waits at the first source for updates. If its response is late, the next source is asked for a response at
+// once. It returns the number of sources in a row that failed.
+func (m *Mirror) follow(ctx context.Context, usable, chosen []Member) (failures int) {
+	source := usable[0]
+	wait := syncWait
+	if !contains(chosen, source.ID) {
+		wait = min(syncWait, max(lateAge-m.Age(), minSyncWait))
+	}
+	response := make(chan bool, 1)
+	go m.log.Guard("updates from daemon "+source.ID, func() {
+		response <- m.recordResult(source, m.syncFrom(ctx, source, wait))
+	})
+	late := time.NewTimer(wait + lateResponse)
+	defer late.Stop()
+	select {
+	case isFresh := <-response:
+		return m.countFailures(0, isFresh)
+	case <-late.C:
+	}
+	m.postpone(source.ID, syncTimeoutMargin) // until it is known whether it responds at all
+	if len(usable) > 1 && m.askPromptly(ctx, usable[1]) {
+		return 0
+	}
+	select {
+	case isFresh := <-response:
+		return m.countFailures(1, isFresh)
+	default:
+		return maxFailedSources
+	}
+}
+
+// countFailures returns the number of sources that failed in a row after one more request.
+func (m *Mirror) countFailures(before int, isFresh bool) int {
+	if isFresh {
+		return 0
+	}
+	return before + 1
+}
+
+// askPromptly asks a source for the updates that it has. It reports whether the source responded at once with a fresh
+// copy; one that did not may only be slow, and is asked again soon.
+func (m *Mirror) askPromptly(ctx context.Context, source Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, promptTimeout)
+	defer cancel()
+	result := m.syncFrom(ctx, source, 0)
+	if result == noResponse {
+		m.postpone(source.ID, noPeerDelay)
+		return false
+	}
+	return m.recordResult(source, result)
+}
+
+// postpone skips a daemon for d, without a change of how long it is skipped when it does not respond next.
+func (m *Mirror) postpone(id string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	skipped := m.skipped[id]
+	skipped.until = later(skipped.until, time.Now().Add(d))
+	m.skipped[id] = skipped
+}
+
 // probe asks one of the daemons although all are skipped. Load pattern: this daemon was cut off and
 // reached nobody, or the store was unavailable for all, so that nobody had a fresh copy. The end of
 // that must not be noticed only when a skip period ends.
