--- a/batch/service.go
+++ b/batch/service.go
@@ -29,7 +29,7 @@
 	if s.m.isDraining() {
 		return nil, fault.New(fault.Draining, "this daemon is draining", "run the batch on the calling daemon", fault.WithOutcome(fault.NotRun))
 	}
-	memory := s.m.itemMemory.Holder(0)
+	memory := s.m.itemMemory.LastingHolder(0)
 	defer memory.Release()
 	if !memory.Take(job.itemMemory()) {
 		return nil, fault.New(fault.Overloaded, "the memory for batches is used up", "run the batch on the calling daemon", fault.WithOutcome(fault.NotRun))
--- a/connlimit/budget.go
+++ b/connlimit/budget.go
@@ -23,7 +23,8 @@
 	// smallBody is the size up to which a body may use the part of the budget that is kept for small
 	// ones. Ordinary requests are smaller.
 	smallBody      = 64 << 10
-	smallBodyParts = 8 // one part of the budget is kept for small bodies
+	smallBodyParts = 8  // one part of the budget is kept for small bodies
+	lastingParts   = 16 // one part of the budget is kept from holders that last
 )
 
 // usage is what bodies take of a budget.
@@ -94,6 +95,7 @@
 	budget   *Budget
 	alone    int64
 	held     int64
+	lasting  bool
 	priority bool
 }
 
@@ -101,11 +103,17 @@
 // up to alone bytes, even if the budget is smaller.
 func (b *Budget) Holder(alone int64) *Holder { return &Holder{budget: b, alone: alone} }
 
-// PriorityHolder is like Holder. While it waits for bytes that it was refused, they are not given to large bodies
+// LastingHolder is like Holder, for bytes that may be held for much longer than a request takes. Load pattern: running
+// batches fill the budget; requests with large bodies must not be refused until they end.
+func (b *Budget) LastingHolder(alone int64) *Holder {
+	return &Holder{budget: b, alone: alone, lasting: true}
+}
+
+// PriorityHolder is like LastingHolder. While it waits for bytes that it was refused, they are not given to large bodies
 // of other holders. Load pattern: accepted work that another process has lost needs room in a process that takes
 // all the new work it has room for.
 func (b *Budget) PriorityHolder(alone int64) *Holder {
-	return &Holder{budget: b, alone: alone, priority: true}
+	return &Holder{budget: b, alone: alone, lasting: true, priority: true}
 }
 
 // Take takes size more bytes. It reports false and takes nothing if the budget is used up.
@@ -143,11 +151,14 @@
 // fits is called with the budget's lock held.
 func (h *Holder) fits(size int64) bool {
 	b := h.budget
-	used := b.used
+	used, limit := b.used, b.limit
+	if h.lasting {
+		limit -= limit / lastingParts
+	}
 	if !h.priority && b.claimed > 0 && time.Now().Before(b.claimedUntil) {
 		used.large += b.claimed
 	}
-	return admits(b.limit, used, h.held, h.held+size, h.alone)
+	return admits(limit, used, h.held, h.held+size, h.alone)
 }
 
 // ShrinkTo returns the bytes over size to the budget.
--- a/connlimit/budget_test.go
+++ b/connlimit/budget_test.go
@@ -36,6 +36,20 @@
 	}
 }
 
+// Replays running batches that take all the room that they can get: a request with a large body still finds some.
+func TestLastingHoldersLeaveRoomForRequests(t *testing.T) {
+	const limit = 64 << 20
+	b := NewBudget(limit)
+	for b.LastingHolder(0).Take(100 << 10) {
+	}
+	if !b.Holder(0).Take(2 << 20) {
+		t.Error("a large body of a request was refused")
+	}
+	if !b.Holder(0).Take(smallBody) {
+		t.Error("a small body was refused")
+	}
+}
+
 // Guards against bytes that are counted twice or never given back when they pass from one holder to another.
 func TestTransferAndShrinkKeepTheBudgetExact(t *testing.T) {
 	b := NewBudget(1 << 20)
