Release the items of a batch that ends before it runs, and charge takeovers by their size

A batch whose end arrived before its submission was stored kept its items for 150 s, uncounted. A takeover was charged 4 MB for reading a part however small the batch, so that a daemon that resumes a dozen small batches at once would have deferred some. The size by which a batch is split counts the headers of its items too.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -188,12 +188,17 @@
 	return fault.New(fault.Forbidden, "batch "+a.job.ID+" was submitted with other items", "submit the batch under another id", fault.WithOutcome(fault.NotRun))
 }
 
-// startRun starts a batch that this daemon has just stored. A new batch has no results yet.
+// startRun starts a batch that this daemon has just stored. A new batch has no results yet. One that has ended
+// meanwhile, or that this daemon leaves to others, needs no items here.
 func (a *acceptance) startRun() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := a.addBatch(a.job)
-	if b.run == nil && !b.starting && !b.ended && !a.draining {
+	switch {
+	case b.run != nil, b.starting:
+	case b.ended, a.draining:
+		b.dropItems()
+	default:
 		b.run = a.start(a.job, b.log, a.carriedOver(a.job), a.memory.Transfer())
 	}
 }
--- a/batch/items.go
+++ b/batch/items.go
@@ -10,15 +10,18 @@
 	"github.com/hornbeamtide/hornbeamtide/objectapi"
 )
 
-// partMemory is what a part takes while it is read and decoded, beside its items.
-const partMemory = 4 * objectapi.MaxValueBytes
+// A part takes partMemoryFactor times the memory of its items while it is read and decoded, at most maxPartMemory.
+const (
+	partMemoryFactor = 4
+	maxPartMemory    = partMemoryFactor * objectapi.MaxValueBytes
+)
 
 // loadItems returns a batch's items, read from its parts if the head does not hold them. It takes their memory
 // before it reads them.
 func (m *Manager) loadItems(ctx context.Context, job Job, memory *connlimit.Holder) ([]Item, error) {
 	size := job.itemMemory()
 	if len(job.Items) == 0 {
-		size += partMemory
+		size += min(partMemoryFactor*size, maxPartMemory)
 	}
 	if !memory.Take(size) {
 		m.log.Log(event.BatchTakeoverDeferred, event.F("batch", job.ID), event.F("bytes", size))
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -117,3 +117,22 @@
 		t.Errorf("%d bytes stay charged", used)
 	}
 }
+
+// Guards against items that stay in memory, counted or not, when a batch has ended before its submission was stored.
+func TestItemsOfBatchThatEndedBeforeItRanAreReleased(t *testing.T) {
+	m := newDrainManager(memstore.New())
+	job := Job{ID: "b1", Items: []Item{{ID: "i", Path: "/x", Body: make([]byte, 100_000)}}}
+	m.mu.Lock()
+	m.markEnded("b1")
+	m.mu.Unlock()
+	memory := m.itemMemory.Holder(0)
+	memory.Take(job.itemMemory())
+	if err := m.acceptLocally(t.Context(), job, memory, false); err != nil {
+		t.Fatal(err)
+	}
+	memory.Release()
+	b, err := m.find(t.Context(), "b1")
+	if err != nil || len(m.jobOf(b).Items) > 0 || m.jobOf(b).total() != 1 || m.itemMemory.Used() != 0 {
+		t.Errorf("%d items of %d are held, %d bytes are charged, %v", len(m.jobOf(b).Items), m.jobOf(b).total(), m.itemMemory.Used(), err)
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -262,7 +262,7 @@
 func (j Job) rawSize() int {
 	size := 0
 	for i := range j.Items {
-		size += len(j.Items[i].Body)
+		size += j.Items[i].headSize() + len(j.Items[i].Body)
 		if s := j.Items[i].Scorer; s != nil {
 			size += len(s.Body)
 		}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -165,6 +165,14 @@
 	b.cancel()
 }
 
+// dropItems drops the items that the store has in parts. Those in the head of a batch stay with it, as in all
+// daemons. The caller holds the manager's mu.
+func (b *batchState) dropItems() {
+	if b.job.Parts > 0 {
+		b.job = b.job.withoutItems()
+	}
+}
+
 func (b *batchState) cancel() {
 	if b.run != nil {
 		b.run.cancel()
--- a/batch/run.go
+++ b/batch/run.go
@@ -99,7 +99,7 @@
 }
 
 // releaseItems releases the items of a batch that needs them no more in this process: all are listed, or the
-// run has ended. Those in the head of a batch stay with it, as in all daemons.
+// run has ended.
 func (r *run) releaseItems() {
 	r.mu.Lock()
 	r.queue = nil
@@ -107,8 +107,8 @@
 	r.mu.Unlock()
 	r.Manager.mu.Lock()
 	defer r.Manager.mu.Unlock()
-	if b := r.batches[r.job.ID]; b != nil && b.job.Parts > 0 && (b.run == nil || b.run == r) {
-		b.job = b.job.withoutItems()
+	if b := r.batches[r.job.ID]; b != nil && (b.run == nil || b.run == r) {
+		b.dropItems()
 	}
 }
 
