Replay lost sources in fleets of 100 daemons; one definition of an item's size

An item's memory is derived from its size, and the size that an odd stored entry may claim for a body is bounded closer to what a client may send.

--- a/batch/job.go
+++ b/batch/job.go
@@ -103,15 +103,9 @@
 
 // Memory returns the memory that the item takes in a daemon that runs its batch.
 func (i *Item) Memory() int64 {
-	size := itemOverhead + len(i.ID) + len(i.Group) + len(i.Path) + len(i.Body)
-	for name, values := range i.Header {
-		size += headerOverhead + len(name)
-		for _, value := range values {
-			size += len(value)
-		}
-	}
+	size := itemOverhead + headerOverhead*len(i.Header) + i.headSize() + len(i.Body)
 	if s := i.Scorer; s != nil {
-		size += scorerOverhead + len(s.ID) + len(s.Host) + len(s.Path) + len(s.Body)
+		size += scorerOverhead + len(s.Body)
 	}
 	return int64(size)
 }
--- a/batch/parts.go
+++ b/batch/parts.go
@@ -14,16 +14,16 @@
 // the bodies of an item may go on in the next part; its objects are of another kind, since a submission that
 // daemons of both versions have tried to store must not end up with parts of both.
 const (
-	itemsFormat      = 0
-	piecesFormat     = 1
+	itemsFormat = iota // has no number in the head
+	piecesFormat
 	newestPartFormat = piecesFormat
 )
 
 // partKey returns the key of a part of the job.
 func (j Job) partKey(n int) string {
-	kind := "parts"
-	if j.PartFormat == piecesFormat {
-		kind = "items"
+	kind := "items"
+	if j.PartFormat == itemsFormat {
+		kind = "parts"
 	}
 	return fmt.Sprintf("%s-%s/%06d", kind, j.ID, n)
 }
@@ -33,8 +33,8 @@
 	maxPieceBytes = 128 << 10
 	// maxHeadWithPieces is the size of an item without its bodies up to which the first pieces stand beside it.
 	maxHeadWithPieces = 32 << 10
-	// maxBodyBytes is more than a body has that a client may send.
-	maxBodyBytes = 256 << 20
+	// maxBodyBytes bounds the size that an entry may claim for a body.
+	maxBodyBytes = 64 << 20
 )
 
 // storedItem is one entry of a part: an item with the first pieces of its bodies, or the next pieces.
--- a/mirror/lost_source_test.go
+++ b/mirror/lost_source_test.go
@@ -303,45 +303,52 @@
 // (found in a review, case 7): whoever else is lost, a daemon whose own way to the store is whole has a change within
 // the bound. Replayed at many phases of the watches and requests.
 func TestChangeIsInForceInTimeWhateverSourcesAreLost(t *testing.T) {
+	const small, large = 8, 100 // in a large fleet each failure domain has a collector
 	table := []struct {
-		name   string
-		losses []loss // of the daemons in the order of collectors
+		name        string
+		size, draws int
+		losses      []loss // of the daemons in the order of collectors
 	}{
-		{"the first collector is frozen", []loss{frozen}},
-		{"the second collector is frozen", []loss{present, frozen}},
-		{"both collectors are frozen", []loss{frozen, frozen}},
-		{"both collectors and the next daemon are frozen", []loss{frozen, frozen, frozen}},
-		{"the store turns the first collector away", []loss{turnedAway}},
-		{"the store turns both collectors away", []loss{turnedAway, turnedAway}},
-		{"the store turns both collectors away, the next daemon is frozen", []loss{turnedAway, turnedAway, frozen}},
-		{"one collector is turned away, the other one frozen", []loss{turnedAway, frozen}},
-		{"both collectors are cut off from the store", []loss{storeCut, storeCut}},
-		{"one collector is cut off from the store, the other one frozen", []loss{storeCut, frozen}},
+		{"the first collector is frozen", small, 200, []loss{frozen}},
+		{"the second collector is frozen", small, 200, []loss{present, frozen}},
+		{"both collectors are frozen", small, 200, []loss{frozen, frozen}},
+		{"both collectors and the next daemon are frozen", small, 200, []loss{frozen, frozen, frozen}},
+		{"the store turns the first collector away", small, 200, []loss{turnedAway}},
+		{"the store turns both collectors away", small, 200, []loss{turnedAway, turnedAway}},
+		{"the store turns both collectors away, the next daemon is frozen", small, 200, []loss{turnedAway, turnedAway, frozen}},
+		{"one collector is turned away, the other one frozen", small, 200, []loss{turnedAway, frozen}},
+		{"both collectors are cut off from the store", small, 200, []loss{storeCut, storeCut}},
+		{"one collector is cut off from the store, the other one frozen", small, 200, []loss{storeCut, frozen}},
+		{"two of three collectors are frozen", large, 10, []loss{frozen, frozen}},
+		{"all collectors are frozen", large, 10, []loss{frozen, frozen, frozen}},
+		{"all collectors and the daemons after them are frozen", large, 10, []loss{frozen, frozen, frozen, frozen, frozen, frozen}},
+		{"all collectors are turned away or cut off from the store", large, 10, []loss{turnedAway, storeCut, storeCut}},
 	}
 	for _, row := range table {
 		t.Run(row.name, func(t *testing.T) {
 			worst := time.Duration(0)
-			for n := range 200 {
-				synctest.Test(t, func(t *testing.T) { worst = max(worst, playLoss(t, row.losses, rand.New(rand.NewPCG(7, uint64(n))))) })
+			for n := range row.draws {
+				draw := rand.New(rand.NewPCG(7, uint64(n)))
+				synctest.Test(t, func(t *testing.T) { worst = max(worst, playLoss(t, drawFleet(draw, row.size), row.losses, draw)) })
 			}
 			t.Logf("in force at the latest after %v", worst)
 		})
 	}
 }
 
-// drawFleet returns eight daemons in three domains, with addresses that decide who collects.
-func drawFleet(draw *rand.Rand) []Member {
-	var members []Member
-	for i, domain := range "aaabbbcc" {
-		members = append(members, Member{ID: fmt.Sprint("d", i), Address: fmt.Sprint("10.0.0.", i, ":", draw.IntN(60_000)), FailureDomain: string(domain)})
+// drawFleet returns daemons in three domains, with drawn addresses, which decide who collects.
+func drawFleet(draw *rand.Rand, size int) []Member {
+	members := testFleet(size, 3)
+	for i := range members {
+		members[i].Address += fmt.Sprint(":", draw.IntN(60_000))
 	}
 	return members
 }
 
 // playLoss loses daemons at a drawn phase, changes an object at the same moment, and returns how long it took until
 // all daemons that are left had the change.
-func playLoss(t *testing.T, losses []loss, draw *rand.Rand) time.Duration {
-	f := startFleet(t, drawFleet(draw))
+func playLoss(t *testing.T, members []Member, losses []loss, draw *rand.Rand) time.Duration {
+	f := startFleet(t, members)
 	defer func() {
 		f.stop()
 		synctest.Wait()
