--- a/batch/items.go
+++ b/batch/items.go
@@ -71,7 +71,7 @@
 		}
 	}
 	body, found := bodyOf(job.Items, item)
-	if !found {
+	if len(job.Items) == 0 {
 		err = m.readItems(ctx, job, func(stored *Item) bool {
 			if found = stored.ID == item; found {
 				body = stored.Body
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -136,3 +136,20 @@
 		t.Errorf("%d items of %d are held, %d bytes are charged, %v", len(m.jobOf(b).Items), m.jobOf(b).total(), m.itemMemory.Used(), err)
 	}
 }
+
+// Guards against a read of all parts of a batch for each request for an item that it doesn't have, by the daemon that
+// holds the items.
+func TestUnknownItemIsNotLookedForInTheStore(t *testing.T) {
+	store := &outageStore{ObjectStore: memstore.New()}
+	m := newDrainManager(store)
+	job := Job{ID: "b1", Items: []Item{{ID: "i", Path: "/x", Body: make([]byte, 100_000)}}}
+	if err := m.acceptLocally(t.Context(), job, m.itemMemory.Holder(0), false); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := m.Body(t.Context(), "b1", "i"); err != nil || len(body) != 100_000 {
+		t.Errorf("a body of %d bytes, %v", len(body), err)
+	}
+	if _, err := m.Body(t.Context(), "b1", "other"); !fault.Is(err, fault.NotFound) || store.gets.Load() > 0 {
+		t.Errorf("error %v after %d reads of the store", err, store.gets.Load())
+	}
+}
