Look for a source three times a second while the store is watched

In an outage of the store each daemon asked all others for a fresh copy as fast as they refused: 42 calls a second of each of 100 daemons, on and since.

Now a daemon that watches the store itself, since two sources failed, asks one every 0.3 s. Measured: 3.4 calls a second (TestCallsInOutage; fails on and on with 42). The bounds of lost sources hold as before.

--- a/edge/crowdtest/submissions_test.go
+++ b/edge/crowdtest/submissions_test.go
@@ -138,6 +138,10 @@
 		for _, id := range accepted {
 			d.end(id)
 		}
+		// A run ends after the response to its end: the next row begins without it.
+		if err := d.eventually(d.checkNothingHeld); err != nil {
+			t.Errorf("%s: %v", row.name, err)
+		}
 	}
 	d.check()
 }
--- a/mirror/lost_source_test.go
+++ b/mirror/lost_source_test.go
@@ -423,3 +423,28 @@
 		})
 	}
 }
+
+// Guards against daemons that ask each other as fast as they can while the store turns all of them away or none of
+// them gets a response from it: in a large fleet that takes all of their processor time.
+func TestCallsInOutage(t *testing.T) {
+	const outage, maxPeerRate = 10 * time.Second, 5.0 // calls a second of one daemon
+	for _, how := range []loss{turnedAway, storeCut} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, testFleet(100, 4))
+			defer func() {
+				f.stop()
+				synctest.Wait()
+			}()
+			for i := range f.members {
+				f.lose(i, how)
+			}
+			before := f.calls
+			time.Sleep(outage)
+			rate := float64(f.calls-before) / outage.Seconds() / float64(len(f.members))
+			t.Logf("%.1f calls a second of each daemon to others", rate)
+			if rate > maxPeerRate {
+				t.Errorf("want at most %.1f", maxPeerRate)
+			}
+		})
+	}
+}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -87,6 +87,9 @@
 			m.recordResult(other, m.syncFrom(ctx, other, 0))
 			clock.Sleep(ctx, compareInterval)
 		case failures > 0:
+			if failures >= maxFailedSources { // this daemon watches the store itself meanwhile
+				clock.Sleep(ctx, noPeerDelay)
+			}
 			failures = m.countFailures(failures, m.askPromptly(ctx, usable[0]))
 		default:
 			failures = m.follow(ctx, usable, chosen)
