A daemon doesn't take a batch over from itself while it stores it

Cause: the mirror delivered the stored batch before its submission had started it, and the supervision took it over from this daemon itself.

Change: a batch whose submission is being stored is not supervised here. The test says why a submission was refused.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -48,10 +48,27 @@
 // may have stored it already.
 func (m *Manager) acceptLocally(ctx context.Context, job Job, memory *connlimit.Holder, mayBeStored bool) error {
 	job.Owner, job.AcceptedAt = m.self, time.Now()
+	defer m.beginAccepting(job.ID)()
 	a := &acceptance{Manager: m, job: job, memory: memory, mayBeStored: mayBeStored}
 	return a.run(ctx)
 }
 
+// beginAccepting records that a submission is being stored, until the returned function is called. Failure: the mirror
+// delivered the batch before its submission had started it, so that this daemon took it over from itself: it read
+// all items once more, and found no room for them beside those of the submission.
+func (m *Manager) beginAccepting(id string) (end func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accepting[id]++
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.accepting[id]--; m.accepting[id] == 0 {
+			delete(m.accepting, id)
+		}
+	}
+}
+
 // checkOwner returns an error if the batch with the job's ID belongs to another organisation.
 func (m *Manager) checkOwner(ctx context.Context, job Job) error {
 	if job.Organisation == "" {
--- a/batch/accept_test.go
+++ b/batch/accept_test.go
@@ -169,3 +169,23 @@
 		t.Error("the owner is skipped")
 	}
 }
+
+// Guards against a daemon that takes a batch over from itself, since the mirror delivers the batch while its submission
+// is being stored: the items were read once more, found no room beside those of the submission, and new submissions
+// were refused for two seconds.
+func TestBatchIsNotTakenOverWhileItIsAccepted(t *testing.T) {
+	m := newDrainManager(memstore.New())
+	end := m.beginAccepting("b1")
+	endAgain := m.beginAccepting("b1")
+	m.mu.Lock()
+	m.addBatch(Job{ID: "b1", Parts: 1, Total: 1})
+	m.mu.Unlock()
+	end()
+	if unserved := m.unservedBatches(); len(unserved) > 0 {
+		t.Error("the batch would be taken over")
+	}
+	endAgain()
+	if unserved := m.unservedBatches(); len(unserved) != 1 {
+		t.Errorf("%d batches would be taken over after the submission failed, want 1", len(unserved))
+	}
+}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -64,6 +64,7 @@
 	stop          context.CancelFunc
 	mu            sync.Mutex
 	batches       map[string]*batchState
+	accepting     map[string]int // submissions by batch that this daemon is storing
 	draining      bool
 	ownerBackoffs map[string]ownerBackoff
 
@@ -94,7 +95,7 @@
 		backend: deps.Backend, configuration: deps.Configuration, reportUnresponsive: deps.ReportUnresponsive, measures: deps.Measures, log: deps.Log,
 		cores: deps.MemberCores, texts: cmp.Or(deps.Texts, connlimit.NewBudget(math.MaxInt64)), scoreSlots: newServiceSlots(),
 		itemMemory: cmp.Or(deps.Items, connlimit.NewBudget(math.MaxInt64)), largeWrites: make(chan struct{}, maxLargeWrites), largeForwards: make(chan struct{}, maxLargeForwards),
-		ctx: ctx, stop: stop, batches: map[string]*batchState{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
+		ctx: ctx, stop: stop, batches: map[string]*batchState{}, accepting: map[string]int{}, ownerBackoffs: map[string]ownerBackoff{}, wakeup: make(chan struct{}, 1),
 	}
 	if m.cores == nil {
 		m.cores = func() map[string]float64 { return nil }
--- a/batch/supervise.go
+++ b/batch/supervise.go
@@ -139,7 +139,7 @@
 	defer m.mu.Unlock()
 	var found []*batchState
 	for _, b := range m.batches {
-		if b.job.ID != "" && b.run == nil && !b.starting && !b.ended && !m.draining {
+		if b.job.ID != "" && b.run == nil && !b.starting && !b.ended && !m.draining && m.accepting[b.job.ID] == 0 {
 			found = append(found, b)
 		}
 	}
--- a/edge/crowdtest/submissions_test.go
+++ b/edge/crowdtest/submissions_test.go
@@ -77,6 +77,8 @@
 				accepted = append(accepted, id)
 			case err != nil || status != http.StatusServiceUnavailable:
 				d.t.Errorf("submission %s of %d items: status %d, %v: %s", id, items, status, err, text)
+			default:
+				d.t.Logf("submission %s of %d items was refused: %s", id, items, text)
 			}
 		})
 	}
