--- a/mirror/lost_source_test.go
+++ b/mirror/lost_source_test.go
@@ -448,3 +448,70 @@
 		})
 	}
 }
+
+// Guards against daemons that follow each other after losses one after the other: which daemons collect is each
+// daemon's own view, and those that were lost are skipped for longer each time, so that the views differ.
+func TestChangeIsInForceInTimeAfterRepeatedLosses(t *testing.T) {
+	const seeds, rounds = 60, 9
+	worst := time.Duration(0)
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			draw := rand.New(rand.NewPCG(11, seed))
+			f := startFleet(t, drawFleet(draw, 8))
+			defer func() {
+				f.stop()
+				synctest.Wait()
+			}()
+			for round := range rounds {
+				time.Sleep(time.Duration(3000+draw.IntN(1300)) * time.Millisecond)
+				f.store.put("config/main")
+				time.Sleep(60 * time.Millisecond)
+				lost := draw.Perm(len(f.members))[:2+draw.IntN(2)]
+				if draw.IntN(2) == 0 { // those that watch the store now
+					lost = f.watching()
+				}
+				for _, i := range lost {
+					f.lose(i, frozen)
+				}
+				key := fmt.Sprint("config/", round)
+				worst = max(worst, f.timeUntilInForce(t, key, f.store.put(key)))
+				time.Sleep(2500 * time.Millisecond)
+				for _, i := range lost {
+					f.lose(i, present)
+				}
+			}
+		})
+	}
+	t.Logf("in force at the latest after %v", worst)
+}
+
+// watching returns up to three daemons that watch the store.
+func (f *testFleetOf) watching() (found []int) {
+	for i, m := range f.mirrors {
+		m.mu.Lock()
+		if m.watching != watchNothing && len(found) < 3 {
+			found = append(found, i)
+		}
+		m.mu.Unlock()
+	}
+	return found
+}
+
+// timeUntilInForce returns how long it takes until all daemons that are not lost have an object.
+func (f *testFleetOf) timeUntilInForce(t *testing.T, key string, confirmed time.Time) time.Duration {
+	t.Helper()
+	worst := time.Duration(0)
+	for i := range f.members {
+		if f.lossOf(i) != present {
+			continue
+		}
+		for f.mirrors[i].version(key) == 0 && time.Since(confirmed) < 2*applyBound {
+			time.Sleep(5 * time.Millisecond)
+		}
+		worst = max(worst, time.Since(confirmed))
+	}
+	if worst > applyBound {
+		t.Errorf("%s was in force after %v, bound %v", key, worst, applyBound)
+	}
+	return worst
+}
--- a/mirror/sync.go
+++ b/mirror/sync.go
@@ -15,7 +15,7 @@
 
 const (
 	// syncWait is how long a request waits for updates at a collector.
-	syncWait = 900 * time.Millisecond
+	syncWait = 800 * time.Millisecond
 	// syncTimeoutMargin is added to the wait for the timeout of a request.
 	syncTimeoutMargin = 500 * time.Millisecond
 	// staleAge is the age from which a daemon's copy is no source of updates, and the age of
@@ -42,8 +42,10 @@
 	// lateAge is the age from which a copy that follows no collector is too old to wait for a source. The
 	// rest of the time in which a change must be in force is left for the store's response.
 	lateAge = 1400 * time.Millisecond
-	// minSyncWait is the shortest wait of a request to a source that is no collector.
+	// minSyncWait is the shortest wait of a request to the first source, and staleMargin the part of staleAge that
+	// is left for its response.
 	minSyncWait = 100 * time.Millisecond
+	staleMargin = 200 * time.Millisecond
 	// initialSources is how many sources the initial sync asks in turn.
 	initialSources = 3
 	// startGrace is how long after its start a daemon does not watch the store for failed requests:
@@ -116,10 +118,7 @@
 // once. It returns the number of sources in a row that failed.
 func (m *Mirror) follow(ctx context.Context, usable, chosen []Member) (failures int) {
 	source := usable[0]
-	wait := syncWait
-	if !contains(chosen, source.ID) {
-		wait = min(syncWait, max(lateAge-m.Age(), minSyncWait))
-	}
+	wait := waitFor(m.Age(), contains(chosen, source.ID))
 	response := make(chan bool, 1)
 	go m.log.Guard("updates from daemon "+source.ID, func() {
 		response <- m.recordResult(source, m.syncFrom(ctx, source, wait))
@@ -148,6 +147,20 @@
 	}
 }
 
+// waitFor decides how long to wait for updates of a source, given the age of the copy. Load pattern: daemons were lost
+// one after the other, and each daemon has its own view of who collects. A source that is taken for a collector
+// and does not watch the store responds with an older copy each time: the wait must end before the copy is stale. That
+// of a collector is renewed more often than that, so that the waits in calm are as long as syncWait on average.
+func waitFor(age time.Duration, isCollector bool) time.Duration {
+	if !isCollector {
+		return min(syncWait, max(lateAge-age, minSyncWait))
+	}
+	if age < coalesceDelay {
+		return syncWait + coalesceDelay - age
+	}
+	return min(syncWait, max(staleAge-staleMargin-age, minSyncWait))
+}
+
 // countFailures returns the number of sources that failed in a row after one more request.
 func (m *Mirror) countFailures(before int, isFresh bool) int {
 	if isFresh {
