--- a/batch/job.go
+++ b/batch/job.go
@@ -7,7 +7,6 @@
 package batch
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -264,14 +263,11 @@
 	return size
 }
 
-// encodeJSON encodes a value that consists of strings, bytes, numbers and times only, without the escapes that only
-// HTML needs.
+// encodeJSON encodes a value that consists of strings, bytes, numbers and times only.
 func encodeJSON(value any) []byte {
-	var text bytes.Buffer
-	encoder := json.NewEncoder(&text)
-	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(value); err != nil {
+	text, err := objectapi.EncodeJSON(value)
+	if err != nil {
 		panic(err)
 	}
-	return bytes.TrimSuffix(text.Bytes(), []byte{'\n'})
+	return text
 }
